--- /dev/null
+++ b/include/jasminemast/config/state.h
@@ -0,0 +1,84 @@
+// The configuration that tickets build up: routes, services and endpoints, as an immutable snapshot.
+#pragma once
+
+#include "jasminemast/support/clock.h"
+#include "jasminemast/support/digest.h"
+#include "jasminemast/support/ids.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminemast
+{
+
+/// Sends requests whose path starts with a prefix to one service.
+struct Route
+{
+    RouteId id;
+    std::string pathPrefix; ///< starts with '/'
+    std::vector<std::string> methods; ///< empty: every method
+    ServiceId service;
+    std::optional<bool> repeatable; ///< unset: GET and HEAD are idempotent, all else is not
+    Milliseconds timeout {0}; ///< upper bound of a call's deadline
+
+    bool operator==(const Route &) const = default;
+
+    /// True when a request with \p method may run more than once without harm.
+    [[nodiscard]] bool isRepeatable(std::string_view method) const;
+};
+
+/// A named group of endpoints that give the same answers.
+struct Service
+{
+    ServiceId id;
+    std::vector<EndpointId> endpoints; ///< may be empty: calls are then refused
+
+    bool operator==(const Service &) const = default;
+};
+
+/// One target: a port on a host, reached only through the node on that host.
+struct Endpoint
+{
+    EndpointId id;
+    HostId host;
+    std::uint16_t port = 0;
+    unsigned slots = 0; ///< requests that the target runs at once
+    bool draining = false; ///< true: takes no new calls
+
+    bool operator==(const Endpoint &) const = default;
+};
+
+/// The whole accepted configuration after one ticket.
+///
+/// Invariants: every route's service is in services(); every endpoint that a service lists is in endpoints();
+/// a published State never changes.
+struct State
+{
+    using RouteMap = std::map<RouteId, std::shared_ptr<const Route>>;
+    using ServiceMap = std::map<ServiceId, std::shared_ptr<const Service>>;
+    using EndpointMap = std::map<EndpointId, std::shared_ptr<const Endpoint>>;
+
+    TicketNumber number; ///< last ticket folded in, also when that ticket was refused
+    Digest ticketDigest; ///< SHA-256 of that ticket's bytes
+    Digest stateDigest; ///< SHA-256 over all objects
+    RouteMap routes;
+    ServiceMap services;
+    EndpointMap endpoints;
+
+    /// The route with the longest matching prefix whose methods admit \p method; null when none does.
+    [[nodiscard]] const Route *findRoute(std::string_view method, std::string_view path) const;
+};
+
+using StatePtr = std::shared_ptr<const State>;
+
+/// The state before the first ticket.
+StatePtr emptyState();
+
+/// The digest over all objects of \p state.
+Digest computeStateDigest(const State &state);
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/support/digest.cpp
@@ -0,0 +1,72 @@
+// SHA-256 through libcrypto, and its hexadecimal form.
+#include "jasminemast/support/digest.h"
+
+#include <openssl/evp.h>
+
+#include <stdexcept>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::size_t ShortHexDigits = 8;
+
+std::optional<std::uint8_t> hexValue(char digit)
+{
+    if (digit >= '0' && digit <= '9') {
+        return static_cast<std::uint8_t>(digit - '0');
+    }
+    if (digit >= 'a' && digit <= 'f') {
+        return static_cast<std::uint8_t>(digit - 'a' + 10);
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+std::string Digest::hex() const
+{
+    static constexpr std::string_view Digits = "0123456789abcdef";
+    std::string text;
+    text.reserve(2 * Bytes);
+    for (const std::uint8_t byte : bytes) {
+        text.push_back(Digits[byte >> 4U]);
+        text.push_back(Digits[byte & 0xFU]);
+    }
+    return text;
+}
+
+std::string Digest::shortHex() const
+{
+    return hex().substr(0, ShortHexDigits);
+}
+
+std::optional<Digest> Digest::fromHex(std::string_view text)
+{
+    if (text.size() != 2 * Bytes) {
+        return std::nullopt;
+    }
+    Digest digest;
+    for (std::size_t i = 0; i < Bytes; ++i) {
+        const auto high = hexValue(text[2 * i]);
+        const auto low = hexValue(text[2 * i + 1]);
+        if (!high || !low) {
+            return std::nullopt;
+        }
+        digest.bytes[i] = static_cast<std::uint8_t>((*high << 4U) | *low);
+    }
+    return digest;
+}
+
+Digest sha256(std::string_view data)
+{
+    Digest digest;
+    if (EVP_Digest(data.data(), data.size(), digest.bytes.data(), nullptr, EVP_sha256(), nullptr) != 1) {
+        throw std::runtime_error("cannot compute a SHA-256 digest");
+    }
+    return digest;
+}
+
+} // namespace jasminemast
