--- /dev/null
+++ b/include/jasminemast/net/linkpool.h
@@ -0,0 +1,63 @@
+// All links of one node: listens, dials on demand, replaces dead links and closes idle ones.
+#pragma once
+
+#include "jasminemast/net/link.h"
+
+#include <memory>
+#include <set>
+#include <unordered_map>
+
+namespace jasminemast
+{
+
+/// Timing of links.
+struct LinkSettings
+{
+    Milliseconds heartbeatInterval {500}; ///< probe of a held link that was quiet this long
+    Milliseconds silenceLimit {1'500}; ///< a held link that was quiet this long is abandoned
+    Milliseconds idleLimit {30'000}; ///< an unused link is closed after this time
+};
+
+/// Owns every link of the process.
+class LinkPool
+{
+public:
+    /// Listens on \p local.
+    /// \throws ResultError with BindFailed.
+    LinkPool(Loop &loop, const Clock &clock, LinkIdentity self, const SocketAddress &local, LinkSettings settings,
+             Link::Handlers handlers);
+    ~LinkPool();
+
+    /// The link to \p host that this node dialled, dialled now if there is none. Frames may be sent at once.
+    std::shared_ptr<Link> connect(const HostId &host, const SocketAddress &address);
+
+    [[nodiscard]] std::size_t size() const
+    {
+        return m_links.size();
+    }
+
+    /// Calls \p visitor for every link that is up.
+    void forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const;
+
+private:
+    void acceptAll();
+    std::shared_ptr<Link> makeLink();
+    void onDown(const std::shared_ptr<Link> &link, ResultCode reason);
+    void checkLinks();
+    void checkLink(Link &link, TimePoint now) const;
+
+    Loop &m_loop;
+    const Clock &m_clock;
+    LinkIdentity m_self;
+    LinkSettings m_settings;
+    Link::Handlers m_handlers;
+    Descriptor m_listener;
+    IoWatcher m_acceptWatcher;
+    Timer m_checkTimer;
+    TimePoint m_lastCheck;
+    std::set<std::shared_ptr<Link>> m_links;
+    /// Invariant: every link here is outgoing, open and in m_links.
+    std::unordered_map<HostId, std::shared_ptr<Link>> m_dialled;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/include/jasminemast/net/loop.h
@@ -0,0 +1,139 @@
+// The event loop (libev) and its watchers as owned objects.
+//
+// One loop runs in one thread. Everything that a task owns is used from that thread only.
+#pragma once
+
+#include "jasminemast/support/clock.h"
+
+#include <ev.h>
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace jasminemast
+{
+
+/// One libev loop with a queue of work that runs before the loop next waits.
+class Loop
+{
+public:
+    Loop();
+    ~Loop();
+    Loop(const Loop &) = delete;
+    Loop &operator=(const Loop &) = delete;
+
+    /// Runs until stop() is called.
+    void run();
+    void stop();
+
+    /// Runs \p work in this loop iteration, after the current handler has returned.
+    void post(std::function<void()> work);
+
+    [[nodiscard]] struct ev_loop *raw() const
+    {
+        return m_loop;
+    }
+
+private:
+    static void onPrepare(struct ev_loop *loop, ev_prepare *watcher, int events);
+    void drainPosted();
+
+    struct ev_loop *m_loop;
+    ev_prepare m_prepare {};
+    std::vector<std::function<void()>> m_posted;
+};
+
+/// Calls back once, or again and again, after a time. Destroying it cancels it.
+class Timer
+{
+public:
+    Timer(Loop &loop, std::function<void()> callback);
+    ~Timer();
+    Timer(const Timer &) = delete;
+    Timer &operator=(const Timer &) = delete;
+
+    /// Calls back once after \p delay; replaces an earlier start.
+    void start(Duration delay);
+    /// Calls back every \p period.
+    void startRepeating(Duration period);
+    void stop();
+    [[nodiscard]] bool isActive() const;
+
+private:
+    static void onTimer(struct ev_loop *loop, ev_timer *watcher, int events);
+    void restart(Duration delay, Duration repeat);
+
+    Loop &m_loop;
+    std::function<void()> m_callback;
+    ev_timer m_timer {};
+};
+
+/// Calls back while a descriptor is readable or writable. Does not own the descriptor.
+class IoWatcher
+{
+public:
+    using Callback = std::function<void(int events)>;
+
+    IoWatcher(Loop &loop, Callback callback);
+    ~IoWatcher();
+    IoWatcher(const IoWatcher &) = delete;
+    IoWatcher &operator=(const IoWatcher &) = delete;
+
+    /// Watches \p descriptor for \p events (EV_READ, EV_WRITE); replaces what was watched.
+    void start(int descriptor, int events);
+    void stop();
+
+private:
+    static void onIo(struct ev_loop *loop, ev_io *watcher, int events);
+
+    Loop &m_loop;
+    Callback m_callback;
+    ev_io m_io {};
+};
+
+/// Calls back when the process gets a signal.
+class SignalWatcher
+{
+public:
+    SignalWatcher(Loop &loop, int signal, std::function<void()> callback);
+    ~SignalWatcher();
+    SignalWatcher(const SignalWatcher &) = delete;
+    SignalWatcher &operator=(const SignalWatcher &) = delete;
+
+private:
+    static void onSignal(struct ev_loop *loop, ev_signal *watcher, int events);
+
+    Loop &m_loop;
+    std::function<void()> m_callback;
+    ev_signal m_signal {};
+};
+
+/// An owned file descriptor.
+class Descriptor
+{
+public:
+    Descriptor() = default;
+    explicit Descriptor(int value)
+        : m_value(value)
+    {
+    }
+    Descriptor(Descriptor &&other) noexcept;
+    Descriptor &operator=(Descriptor &&other) noexcept;
+    ~Descriptor();
+
+    [[nodiscard]] int get() const
+    {
+        return m_value;
+    }
+    [[nodiscard]] bool isOpen() const
+    {
+        return m_value >= 0;
+    }
+    void close();
+
+private:
+    int m_value = -1;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/net/link.cpp
@@ -0,0 +1,357 @@
+// Framing, fair sending and receiving on one link.
+#include "jasminemast/net/link.h"
+
+#include "jasminemast/support/archive.h"
+
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <array>
+#include <cassert>
+#include <cerrno>
+#include <cstring>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr FrameType HelloType = 1;
+constexpr FrameType HeartbeatType = 2;
+constexpr FrameType HeartbeatAckType = 3;
+constexpr std::size_t HeaderBytes = 4;
+constexpr std::size_t ReadChunkBytes = 64 << 10;
+constexpr int MaxReadsPerWakeup = 16;
+constexpr std::uint32_t ProtocolVersion = 1;
+
+/// First frame in both directions.
+struct HelloMessage
+{
+    std::uint32_t version = ProtocolVersion;
+    LinkIdentity identity;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(version, identity);
+    }
+};
+
+std::string makeFrame(FrameType type, std::string_view payload)
+{
+    assert(payload.size() < LinkLimits::MaxFrameBytes && "the peer would refuse a larger frame");
+    const auto length = static_cast<std::uint32_t>(payload.size() + 1);
+    std::string frame;
+    frame.reserve(HeaderBytes + length);
+    frame.append(reinterpret_cast<const char *>(&length), HeaderBytes);
+    frame.push_back(static_cast<char>(type));
+    frame.append(payload);
+    return frame;
+}
+
+void setSocketOptions(int socket)
+{
+    const int on = 1;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NODELAY, &on, sizeof(on));
+    const int lowWater = LinkLimits::UnsentLowWaterBytes;
+    ::setsockopt(socket, IPPROTO_TCP, TCP_NOTSENT_LOWAT, &lowWater, sizeof(lowWater));
+}
+
+bool wouldBlock(int error)
+{
+    return error == EAGAIN || error == EWOULDBLOCK || error == EINTR;
+}
+
+} // namespace
+
+Link::Link(Loop &loop, const Clock &clock, LinkIdentity self, Handlers handlers)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_self(std::move(self))
+    , m_handlers(std::move(handlers))
+    , m_watcher(loop, [this](int events) { onIo(events); })
+    , m_lastReceived(clock.now())
+    , m_lastUsed(clock.now())
+{
+}
+
+void Link::dial(const HostId &host, const SocketAddress &address)
+{
+    m_outgoing = true;
+    m_peer.host = host;
+    const sockaddr_in system = toSystemAddress(address);
+    m_socket = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    if (!m_socket.isOpen()) {
+        close(ResultCode::LinkLost);
+        return;
+    }
+    setSocketOptions(m_socket.get());
+    if (::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0
+        && errno != EINPROGRESS) {
+        close(ResultCode::LinkLost);
+        return;
+    }
+    m_connecting = true;
+    start();
+}
+
+void Link::accept(Descriptor socket)
+{
+    m_socket = std::move(socket);
+    setSocketOptions(m_socket.get());
+    start();
+}
+
+void Link::start()
+{
+    m_urgent.push_front(makeFrame(HelloType, encodeMessage(HelloMessage {ProtocolVersion, m_self})));
+    watch(true);
+}
+
+void Link::send(FrameType type, std::string_view payload)
+{
+    if (m_closed) {
+        return;
+    }
+    m_lastUsed = m_clock.now();
+    m_urgent.push_back(makeFrame(type, payload));
+    scheduleFlush();
+}
+
+void Link::sendBulk(StreamId stream, FrameType type, std::string_view payload)
+{
+    if (m_closed) {
+        return;
+    }
+    m_lastUsed = m_clock.now();
+    m_bulk[stream].push_back(makeFrame(type, payload));
+    scheduleFlush();
+}
+
+void Link::dropBulk(StreamId stream)
+{
+    m_bulk.erase(stream);
+}
+
+void Link::close(ResultCode reason)
+{
+    if (m_closed) {
+        return;
+    }
+    m_closed = true;
+    m_up = false;
+    m_watcher.stop();
+    m_socket.close();
+    m_urgent.clear();
+    m_bulk.clear();
+    m_loop.post([self = shared_from_this(), reason] { self->m_handlers.onDown(self, reason); });
+}
+
+void Link::hold()
+{
+    ++m_holds;
+    m_lastUsed = m_clock.now();
+    if (m_holds == 1) {
+        forgiveSilence();
+    }
+}
+
+void Link::release()
+{
+    assert(m_holds > 0 && "a release without its hold");
+    --m_holds;
+    m_lastUsed = m_clock.now();
+}
+
+void Link::forgiveSilence()
+{
+    m_lastReceived = m_clock.now();
+}
+
+void Link::sendHeartbeat()
+{
+    if (m_closed) {
+        return;
+    }
+    m_urgent.push_back(makeFrame(HeartbeatType, {}));
+    scheduleFlush();
+}
+
+void Link::watch(bool writable)
+{
+    m_watcher.start(m_socket.get(), writable ? (EV_READ | EV_WRITE) : EV_READ);
+}
+
+void Link::onIo(int events)
+{
+    const auto self = shared_from_this();
+    if (m_connecting) {
+        finishConnect();
+    }
+    if (!m_closed && (events & EV_READ) != 0) {
+        readAvailable();
+    }
+    if (!m_closed && (events & EV_WRITE) != 0) {
+        flush();
+    }
+}
+
+void Link::finishConnect()
+{
+    int error = 0;
+    socklen_t size = sizeof(error);
+    ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) {
+        close(ResultCode::LinkLost);
+        return;
+    }
+    m_connecting = false;
+}
+
+void Link::readAvailable()
+{
+    std::array<char, ReadChunkBytes> buffer; // NOLINT: filled by recv
+    for (int i = 0; i < MaxReadsPerWakeup && !m_closed; ++i) {
+        const ssize_t size = ::recv(m_socket.get(), buffer.data(), buffer.size(), 0);
+        if (size < 0 && wouldBlock(errno)) {
+            return;
+        }
+        if (size <= 0) {
+            close(ResultCode::LinkLost);
+            return;
+        }
+        m_lastReceived = m_clock.now();
+        m_in.append(buffer.data(), static_cast<std::size_t>(size));
+        if (!parseFrames()) {
+            return;
+        }
+        if (static_cast<std::size_t>(size) < buffer.size()) {
+            return;
+        }
+    }
+}
+
+bool Link::parseFrames()
+{
+    std::size_t offset = 0;
+    while (!m_closed && m_in.size() - offset >= HeaderBytes) {
+        std::uint32_t length = 0;
+        std::memcpy(&length, m_in.data() + offset, HeaderBytes);
+        if (length == 0 || length > LinkLimits::MaxFrameBytes) {
+            close(ResultCode::FrameTooLarge);
+            return false;
+        }
+        if (m_in.size() - offset - HeaderBytes < length) {
+            break;
+        }
+        const auto type = static_cast<FrameType>(m_in[offset + HeaderBytes]);
+        const std::string_view payload(m_in.data() + offset + HeaderBytes + 1, length - 1);
+        offset += HeaderBytes + length;
+        handleFrame(type, payload);
+    }
+    m_in.erase(0, offset);
+    return !m_closed;
+}
+
+void Link::handleFrame(FrameType type, std::string_view payload)
+{
+    try {
+        if (type == HelloType) {
+            handleHello(payload);
+            return;
+        }
+        if (!m_up) {
+            throw ResultError(ResultCode::FrameMalformed, "frame before the hello");
+        }
+        if (type == HeartbeatType) {
+            m_urgent.push_back(makeFrame(HeartbeatAckType, {}));
+            scheduleFlush();
+            return;
+        }
+        if (type == HeartbeatAckType) {
+            return;
+        }
+        m_lastUsed = m_clock.now();
+        m_handlers.onFrame(shared_from_this(), type, payload);
+    } catch (const ResultError &error) {
+        close(error.code());
+    }
+}
+
+void Link::handleHello(std::string_view payload)
+{
+    const auto hello = decodeMessage<HelloMessage>(payload, ResultCode::FrameMalformed);
+    if (m_up || hello.version != ProtocolVersion) {
+        throw ResultError(ResultCode::FrameMalformed, "unexpected hello");
+    }
+    if (m_outgoing && hello.identity.host != m_peer.host) {
+        throw ResultError(ResultCode::LinkWrongPeer, hello.identity.host.value());
+    }
+    m_peer = hello.identity;
+    m_up = true;
+    m_handlers.onUp(shared_from_this());
+}
+
+void Link::scheduleFlush()
+{
+    if (m_flushScheduled || m_connecting || m_closed) {
+        return;
+    }
+    m_flushScheduled = true;
+    m_loop.post([self = shared_from_this()] {
+        self->m_flushScheduled = false;
+        self->flush();
+    });
+}
+
+void Link::fillBatch()
+{
+    m_batch.clear();
+    m_batchOffset = 0;
+    while (!m_urgent.empty() && m_batch.size() < LinkLimits::WriteBatchBytes) {
+        m_batch += m_urgent.front();
+        m_urgent.pop_front();
+    }
+    while (!m_bulk.empty() && m_batch.size() < LinkLimits::WriteBatchBytes) {
+        auto turn = m_bulk.upper_bound(m_lastBulkStream);
+        if (turn == m_bulk.end()) {
+            turn = m_bulk.begin();
+        }
+        m_lastBulkStream = turn->first;
+        m_batch += turn->second.front();
+        turn->second.pop_front();
+        if (turn->second.empty()) {
+            m_bulk.erase(turn);
+        }
+    }
+}
+
+void Link::flush()
+{
+    if (m_closed || m_connecting) {
+        return;
+    }
+    while (true) {
+        if (m_batchOffset == m_batch.size()) {
+            fillBatch();
+        }
+        if (m_batch.empty()) {
+            watch(false);
+            return;
+        }
+        const ssize_t size
+            = ::send(m_socket.get(), m_batch.data() + m_batchOffset, m_batch.size() - m_batchOffset, MSG_NOSIGNAL);
+        if (size < 0 && wouldBlock(errno)) {
+            watch(true);
+            return;
+        }
+        if (size < 0) {
+            close(ResultCode::LinkLost);
+            return;
+        }
+        m_batchOffset += static_cast<std::size_t>(size);
+    }
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/net/linkpool.cpp
@@ -0,0 +1,137 @@
+// Listening, dialling and supervision of links.
+#include "jasminemast/net/linkpool.h"
+
+#include <sys/socket.h>
+
+#include <cerrno>
+#include <cstring>
+#include <vector>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr int ListenBacklog = 1024;
+
+Descriptor listenOn(const SocketAddress &local)
+{
+    Descriptor socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+    const int on = 1;
+    ::setsockopt(socket.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
+    const sockaddr_in system = toSystemAddress(local);
+    if (::bind(socket.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0
+        || ::listen(socket.get(), ListenBacklog) != 0) {
+        throw ResultError(ResultCode::BindFailed, "TCP " + local.toString() + ": " + std::strerror(errno));
+    }
+    return socket;
+}
+
+} // namespace
+
+LinkPool::LinkPool(Loop &loop, const Clock &clock, LinkIdentity self, const SocketAddress &local, LinkSettings settings,
+                   Link::Handlers handlers)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_self(std::move(self))
+    , m_settings(settings)
+    , m_handlers(std::move(handlers))
+    , m_listener(listenOn(local))
+    , m_acceptWatcher(loop, [this](int) { acceptAll(); })
+    , m_checkTimer(loop, [this] { checkLinks(); })
+    , m_lastCheck(clock.now())
+{
+    m_acceptWatcher.start(m_listener.get(), EV_READ);
+    m_checkTimer.startRepeating(m_settings.heartbeatInterval / 2);
+}
+
+LinkPool::~LinkPool() = default;
+
+std::shared_ptr<Link> LinkPool::connect(const HostId &host, const SocketAddress &address)
+{
+    const auto found = m_dialled.find(host);
+    if (found != m_dialled.end() && !found->second->isClosed()) {
+        return found->second;
+    }
+    auto link = makeLink();
+    m_dialled[host] = link;
+    link->dial(host, address);
+    return link;
+}
+
+void LinkPool::forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const
+{
+    const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
+    for (const auto &link : links) {
+        if (link->isUp()) {
+            visitor(link);
+        }
+    }
+}
+
+std::shared_ptr<Link> LinkPool::makeLink()
+{
+    Link::Handlers handlers = m_handlers;
+    handlers.onDown = [this](const std::shared_ptr<Link> &link, ResultCode reason) {
+        onDown(link, reason);
+    };
+    auto link = std::make_shared<Link>(m_loop, m_clock, m_self, std::move(handlers));
+    m_links.insert(link);
+    return link;
+}
+
+void LinkPool::acceptAll()
+{
+    while (true) {
+        Descriptor socket(::accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!socket.isOpen()) {
+            return;
+        }
+        makeLink()->accept(std::move(socket));
+    }
+}
+
+void LinkPool::onDown(const std::shared_ptr<Link> &link, ResultCode reason)
+{
+    const auto dialled = m_dialled.find(link->peer().host);
+    if (dialled != m_dialled.end() && dialled->second == link) {
+        m_dialled.erase(dialled);
+    }
+    m_links.erase(link);
+    m_handlers.onDown(link, reason);
+}
+
+void LinkPool::checkLinks()
+{
+    const TimePoint now = m_clock.now();
+    const bool wasPaused = now - m_lastCheck > m_settings.heartbeatInterval * 2;
+    m_lastCheck = now;
+    const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
+    for (const auto &link : links) {
+        if (wasPaused) {
+            link->forgiveSilence();
+        }
+        checkLink(*link, now);
+    }
+}
+
+void LinkPool::checkLink(Link &link, TimePoint now) const
+{
+    if (!link.isHeld()) {
+        if (now - link.lastUsed() > m_settings.idleLimit) {
+            link.close(ResultCode::LinkIdle);
+        }
+        return;
+    }
+    const Duration quiet = now - link.lastReceived();
+    if (quiet > m_settings.silenceLimit) {
+        link.close(ResultCode::LinkSilent);
+        return;
+    }
+    if (quiet > m_settings.heartbeatInterval) {
+        link.sendHeartbeat();
+    }
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/net/loop.cpp
@@ -0,0 +1,199 @@
+// Thin ownership around libev.
+#include "jasminemast/net/loop.h"
+
+#include <unistd.h>
+
+#include <stdexcept>
+#include <utility>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+ev_tstamp toSeconds(Duration duration)
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+Loop::Loop()
+    : m_loop(ev_loop_new(EVFLAG_AUTO))
+{
+    if (m_loop == nullptr) {
+        throw std::runtime_error("cannot create an event loop");
+    }
+    ev_prepare_init(&m_prepare, &Loop::onPrepare);
+    m_prepare.data = this;
+    ev_prepare_start(m_loop, &m_prepare);
+    ev_unref(m_loop);
+}
+
+Loop::~Loop()
+{
+    ev_ref(m_loop);
+    ev_prepare_stop(m_loop, &m_prepare);
+    ev_loop_destroy(m_loop);
+}
+
+void Loop::run()
+{
+    ev_run(m_loop, 0);
+}
+
+void Loop::stop()
+{
+    ev_break(m_loop, EVBREAK_ALL);
+}
+
+void Loop::post(std::function<void()> work)
+{
+    m_posted.push_back(std::move(work));
+}
+
+void Loop::onPrepare(struct ev_loop * /*loop*/, ev_prepare *watcher, int /*events*/)
+{
+    static_cast<Loop *>(watcher->data)->drainPosted();
+}
+
+void Loop::drainPosted()
+{
+    while (!m_posted.empty()) {
+        std::vector<std::function<void()>> batch;
+        batch.swap(m_posted);
+        for (const auto &work : batch) {
+            work();
+        }
+    }
+}
+
+Timer::Timer(Loop &loop, std::function<void()> callback)
+    : m_loop(loop)
+    , m_callback(std::move(callback))
+{
+    ev_init(&m_timer, &Timer::onTimer);
+    m_timer.data = this;
+}
+
+Timer::~Timer()
+{
+    stop();
+}
+
+void Timer::start(Duration delay)
+{
+    restart(delay, Duration::zero());
+}
+
+void Timer::startRepeating(Duration period)
+{
+    restart(period, period);
+}
+
+void Timer::restart(Duration delay, Duration repeat)
+{
+    stop();
+    ev_now_update(m_loop.raw());
+    const ev_tstamp seconds = delay > Duration::zero() ? toSeconds(delay) : 0.0;
+    ev_timer_set(&m_timer, seconds, toSeconds(repeat));
+    ev_timer_start(m_loop.raw(), &m_timer);
+}
+
+void Timer::stop()
+{
+    ev_timer_stop(m_loop.raw(), &m_timer);
+}
+
+bool Timer::isActive() const
+{
+    return ev_is_active(&m_timer) != 0;
+}
+
+void Timer::onTimer(struct ev_loop * /*loop*/, ev_timer *watcher, int /*events*/)
+{
+    static_cast<Timer *>(watcher->data)->m_callback();
+}
+
+IoWatcher::IoWatcher(Loop &loop, Callback callback)
+    : m_loop(loop)
+    , m_callback(std::move(callback))
+{
+    ev_init(&m_io, &IoWatcher::onIo);
+    m_io.data = this;
+}
+
+IoWatcher::~IoWatcher()
+{
+    stop();
+}
+
+void IoWatcher::start(int descriptor, int events)
+{
+    if (ev_is_active(&m_io) != 0 && m_io.fd == descriptor && (m_io.events & (EV_READ | EV_WRITE)) == events) {
+        return;
+    }
+    stop();
+    ev_io_set(&m_io, descriptor, events);
+    ev_io_start(m_loop.raw(), &m_io);
+}
+
+void IoWatcher::stop()
+{
+    ev_io_stop(m_loop.raw(), &m_io);
+}
+
+void IoWatcher::onIo(struct ev_loop * /*loop*/, ev_io *watcher, int events)
+{
+    static_cast<IoWatcher *>(watcher->data)->m_callback(events);
+}
+
+SignalWatcher::SignalWatcher(Loop &loop, int signal, std::function<void()> callback)
+    : m_loop(loop)
+    , m_callback(std::move(callback))
+{
+    ev_signal_init(&m_signal, &SignalWatcher::onSignal, signal);
+    m_signal.data = this;
+    ev_signal_start(m_loop.raw(), &m_signal);
+    ev_unref(m_loop.raw());
+}
+
+SignalWatcher::~SignalWatcher()
+{
+    ev_ref(m_loop.raw());
+    ev_signal_stop(m_loop.raw(), &m_signal);
+}
+
+void SignalWatcher::onSignal(struct ev_loop * /*loop*/, ev_signal *watcher, int /*events*/)
+{
+    static_cast<SignalWatcher *>(watcher->data)->m_callback();
+}
+
+Descriptor::Descriptor(Descriptor &&other) noexcept
+    : m_value(std::exchange(other.m_value, -1))
+{
+}
+
+Descriptor &Descriptor::operator=(Descriptor &&other) noexcept
+{
+    if (this != &other) {
+        close();
+        m_value = std::exchange(other.m_value, -1);
+    }
+    return *this;
+}
+
+Descriptor::~Descriptor()
+{
+    close();
+}
+
+void Descriptor::close()
+{
+    if (m_value >= 0) {
+        ::close(std::exchange(m_value, -1));
+    }
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/net/socketaddress.cpp
@@ -0,0 +1,22 @@
+// Conversion of addresses for the system calls.
+#include "jasminemast/net/socketaddress.h"
+
+#include "jasminemast/support/result.h"
+
+#include <arpa/inet.h>
+
+namespace jasminemast
+{
+
+sockaddr_in toSystemAddress(const SocketAddress &address)
+{
+    sockaddr_in system {};
+    system.sin_family = AF_INET;
+    system.sin_port = htons(address.port);
+    if (inet_pton(AF_INET, address.ip.c_str(), &system.sin_addr) != 1) {
+        throw ResultError(ResultCode::AddressInvalid, address.ip);
+    }
+    return system;
+}
+
+} // namespace jasminemast
