[node] add settings, command line and the first path of a call

Entry side, links between nodes, target side, following of the accepted head straight from the service, and operators' read-back.

--- /dev/null
+++ b/include/jasminemast/command/operatorclient.h
@@ -0,0 +1,15 @@
+// Blocking requests from the command line to a node's operator interface.
+#pragma once
+
+#include <nlohmann/json.hpp>
+
+#include <string>
+
+namespace jasminemast
+{
+
+/// Fetches \p path (with query) from the node at \p node, an ADDRESS:PORT, and parses the answer.
+/// \throws ResultError with NodeUnreachable or NodeAnswerInvalid.
+nlohmann::json fetchFromNode(const std::string &node, const std::string &path);
+
+} // namespace jasminemast
--- /dev/null
+++ b/include/jasminemast/node/callserver.h
@@ -0,0 +1,44 @@
+// Takes attempts from other nodes over links and gives them to the target side.
+#pragma once
+
+#include "jasminemast/net/link.h"
+#include "jasminemast/node/targetside.h"
+
+#include <map>
+#include <memory>
+
+namespace jasminemast
+{
+
+/// The answering end of the call protocol, for all links of a node.
+class CallServer
+{
+public:
+    CallServer(TargetSide &target, const Clock &clock, std::size_t maxRequestBytes);
+
+    ~CallServer();
+    CallServer(const CallServer &) = delete;
+    CallServer &operator=(const CallServer &) = delete;
+
+    /// Handles Open, RequestBody, Credit and Cancel.
+    /// \throws ResultError with FrameMalformed or RequestTooLarge, upon which the link is to be closed.
+    void onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
+    void onLinkDown(const std::shared_ptr<Link> &link);
+
+private:
+    struct Stream;
+    class LinkSink;
+    using Key = std::pair<Link *, std::uint64_t>;
+
+    void onOpen(const std::shared_ptr<Link> &link, std::string_view payload);
+    void onRequestBody(const std::shared_ptr<Link> &link, std::string_view payload);
+    void startIfWhole(const std::shared_ptr<Link> &link, Stream &stream);
+    void erase(const Key &key);
+
+    TargetSide &m_target;
+    const Clock &m_clock;
+    std::size_t m_maxRequestBytes;
+    std::map<Key, std::unique_ptr<Stream>> m_streams;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/include/jasminemast/node/node.h
@@ -0,0 +1,50 @@
+// One node: joins the control side and the call side on one event loop.
+#pragma once
+
+#include "jasminemast/node/callclient.h"
+#include "jasminemast/node/callserver.h"
+#include "jasminemast/node/directcontrol.h"
+#include "jasminemast/node/entryside.h"
+#include "jasminemast/node/operatorapi.h"
+#include "jasminemast/node/targetside.h"
+
+namespace jasminemast
+{
+
+/// Everything that one process runs.
+class Node
+{
+public:
+    /// Opens all sockets.
+    /// \throws ResultError with BindFailed.
+    Node(Loop &loop, const Clock &clock, NodeSettings settings);
+
+    /// Runs until SIGTERM or SIGINT, and then until the accepted calls are answered.
+    void run();
+
+private:
+    Link::Handlers linkHandlers();
+    void onFrame(const std::shared_ptr<Link> &link, FrameType type, std::string_view payload);
+    void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
+    void beginDrain();
+    void checkDrained();
+
+    Loop &m_loop;
+    const Clock &m_clock;
+    NodeSettings m_settings;
+    Incarnation m_incarnation;
+    Random m_random;
+    DirectControl m_control;
+    TargetSide m_target;
+    LinkPool m_links;
+    CallServer m_callServer;
+    CallClient m_callClient;
+    EntrySide m_entry;
+    HttpServer m_callerServer;
+    OperatorApi m_operators;
+    SignalWatcher m_terminate;
+    SignalWatcher m_interrupt;
+    Timer m_drainTimer;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/command/command.cpp
@@ -0,0 +1,114 @@
+// The table of sub-commands and the dispatch to them.
+#include "jasminemast/command/command.h"
+
+#include "jasminemast/support/result.h"
+
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <iomanip>
+#include <iostream>
+#include <optional>
+
+DECLARE_bool(help);
+DECLARE_bool(helpfull);
+DECLARE_bool(version);
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::array Commands = {
+    Command {"node", "run the node of this host", "--settings=FILE",
+             "jasminemast node --settings=/etc/jasminemast/node.json", &runNode},
+    Command {"status", "show which ticket is in force", "--node=ADDRESS:PORT [--fleet] [--json]",
+             "jasminemast status --node=127.1.0.1:7001 --fleet", &runStatus},
+    Command {"logbook", "show every ticket with its verdict", "--node=ADDRESS:PORT [--json]",
+             "jasminemast logbook --node=127.1.0.1:7001", &runLogbook},
+    Command {"settings check", "check a settings file without starting anything", "--settings=FILE",
+             "jasminemast settings check --settings=node.json", &runSettingsCheck},
+    Command {"version", "print the version", "", "jasminemast version", &runVersion},
+};
+
+void printOverview(std::ostream &out)
+{
+    constexpr int NameWidth = 18;
+    out << "usage: jasminemast COMMAND [FLAGS]\n\ncommands:\n";
+    for (const Command &command : Commands) {
+        out << "  " << std::left << std::setw(NameWidth) << command.name << command.summary << '\n';
+    }
+    out << "\n'jasminemast COMMAND --help' explains one command.\n";
+}
+
+void printHelp(const Command &command)
+{
+    std::cout << command.summary << "\n\nusage: jasminemast " << command.name << ' ' << command.usage
+              << "\n\nexample:\n  " << command.example << '\n';
+}
+
+/// The command whose words start the command line; longer names win.
+const Command *findCommand(const std::vector<std::string> &words)
+{
+    const std::string first = words.empty() ? "" : words[0];
+    const std::string both = words.size() < 2 ? first : first + " " + words[1];
+    for (const std::string &name : {both, first}) {
+        const auto *found = std::find_if(Commands.begin(), Commands.end(),
+                                         [&name](const Command &command) { return command.name == name; });
+        if (found != Commands.end()) {
+            return found;
+        }
+    }
+    return nullptr;
+}
+
+std::vector<std::string> leadingWords(int argc, char **argv)
+{
+    std::vector<std::string> words;
+    for (int i = 1; i < argc && argv[i][0] != '-'; ++i) {
+        words.emplace_back(argv[i]);
+    }
+    return words;
+}
+
+int runGuarded(const Command &command, const std::vector<std::string> &arguments)
+{
+    try {
+        return command.run(arguments);
+    } catch (const ResultError &error) {
+        std::cerr << "jasminemast: " << number(error.code()) << ' ' << error.what() << '\n';
+        return resultInfo(error.code()).exitStatus;
+    } catch (const std::exception &error) {
+        std::cerr << "jasminemast: " << number(ResultCode::InternalError) << ' ' << error.what() << '\n';
+        return resultInfo(ResultCode::InternalError).exitStatus;
+    }
+}
+
+} // namespace
+
+std::span<const Command> allCommands()
+{
+    return Commands;
+}
+
+int runCommandLine(int argc, char **argv)
+{
+    const Command *command = findCommand(leadingWords(argc, argv));
+    gflags::ParseCommandLineNonHelpFlags(&argc, &argv, true);
+    if (command == nullptr) {
+        const bool asked = FLAGS_help || FLAGS_helpfull;
+        printOverview(asked ? std::cout : std::cerr);
+        return asked ? 0 : resultInfo(ResultCode::UsageError).exitStatus;
+    }
+    if (FLAGS_help || FLAGS_helpfull) {
+        printHelp(*command);
+        return 0;
+    }
+    const auto commandWords = 1 + std::count(command->name.begin(), command->name.end(), ' ');
+    const std::vector<std::string> arguments(argv + 1 + commandWords, argv + argc);
+    return runGuarded(*command, arguments);
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/command/nodecommand.cpp
@@ -0,0 +1,54 @@
+// Sub-commands that concern the process itself: node, settings check, version.
+#include "jasminemast/command/command.h"
+#include "jasminemast/node/node.h"
+
+#include <curl/curl.h>
+#include <gflags/gflags.h>
+
+#include <csignal>
+#include <iostream>
+
+DEFINE_string(settings, "", "path of the node's settings file");
+
+namespace jasminemast
+{
+
+namespace
+{
+
+NodeSettings settingsFromFlag()
+{
+    if (FLAGS_settings.empty()) {
+        throw ResultError(ResultCode::UsageError, "--settings=FILE is missing");
+    }
+    return readNodeSettings(FLAGS_settings);
+}
+
+} // namespace
+
+int runNode(const std::vector<std::string> & /*arguments*/)
+{
+    NodeSettings settings = settingsFromFlag();
+    std::signal(SIGPIPE, SIG_IGN);
+    curl_global_init(CURL_GLOBAL_DEFAULT);
+    Loop loop;
+    const SystemClock clock;
+    Node node(loop, clock, std::move(settings));
+    node.run();
+    return 0;
+}
+
+int runSettingsCheck(const std::vector<std::string> & /*arguments*/)
+{
+    const NodeSettings settings = settingsFromFlag();
+    std::cout << "settings of host " << settings.self.host << " are valid\n";
+    return 0;
+}
+
+int runVersion(const std::vector<std::string> & /*arguments*/)
+{
+    std::cout << "jasminemast " << JASMINEMAST_VERSION << '\n';
+    return 0;
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/node/callclient.cpp
@@ -0,0 +1,158 @@
+// Streams of attempts to other nodes.
+#include "jasminemast/node/callclient.h"
+
+namespace jasminemast
+{
+
+/// One attempt on another node. Holds its link while it exists.
+struct CallClient::Stream
+{
+    Stream(std::shared_ptr<Link> on, std::shared_ptr<AnswerSink> to)
+        : link(std::move(on))
+        , sink(std::move(to))
+    {
+        link->hold();
+    }
+
+    ~Stream()
+    {
+        link->release();
+    }
+
+    Stream(const Stream &) = delete;
+    Stream &operator=(const Stream &) = delete;
+
+    std::shared_ptr<Link> link;
+    std::shared_ptr<AnswerSink> sink;
+};
+
+/// The asker's hold on an attempt of another node.
+class RemoteHandle final : public AttemptHandle
+{
+public:
+    RemoteHandle(CallClient &client, CallClient::Key key)
+        : m_client(client)
+        , m_key(key)
+    {
+    }
+
+    void cancel() override
+    {
+        m_client.cancel(m_key);
+    }
+
+    void credit(std::size_t bytes) override
+    {
+        m_client.credit(m_key, bytes);
+    }
+
+private:
+    CallClient &m_client;
+    CallClient::Key m_key;
+};
+
+CallClient::CallClient(Loop &loop, LinkPool &links)
+    : m_loop(loop)
+    , m_links(links)
+{
+}
+
+CallClient::~CallClient() = default;
+
+std::unique_ptr<AttemptHandle> CallClient::open(const HostId &host, const SocketAddress &address, OpenMessage open,
+                                                const std::string &body, std::shared_ptr<AnswerSink> sink)
+{
+    const auto link = m_links.connect(host, address);
+    open.stream = ++m_lastStream;
+    open.bodyBytes = body.size();
+    const Key key(link.get(), open.stream);
+    m_streams.emplace(key, std::make_unique<Stream>(link, std::move(sink)));
+    link->send(static_cast<FrameType>(CallFrame::Open), encodeMessage(open));
+    std::string_view rest(body);
+    while (!rest.empty()) {
+        const std::string_view piece = rest.substr(0, CallProtocol::DataFrameBytes);
+        rest.remove_prefix(piece.size());
+        link->sendBulk(StreamId(open.stream), static_cast<FrameType>(CallFrame::RequestBody),
+                       encodeDataFrame(open.stream, piece));
+    }
+    return std::make_unique<RemoteHandle>(*this, key);
+}
+
+std::shared_ptr<AnswerSink> CallClient::sinkOf(const Key &key) const
+{
+    const auto found = m_streams.find(key);
+    return found == m_streams.end() ? nullptr : found->second->sink;
+}
+
+void CallClient::onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload)
+{
+    if (type == CallFrame::Data) {
+        const DataFrame frame = decodeDataFrame(payload);
+        if (const auto sink = sinkOf({link.get(), frame.stream})) {
+            sink->data(frame.bytes);
+        }
+        return;
+    }
+    if (type == CallFrame::Head) {
+        const auto head = decodeMessage<HeadMessage>(payload, ResultCode::FrameMalformed);
+        if (const auto sink = sinkOf({link.get(), head.stream})) {
+            sink->head(head);
+        }
+        return;
+    }
+    if (type == CallFrame::End) {
+        const auto message = decodeMessage<EndMessage>(payload, ResultCode::FrameMalformed);
+        const Key key(link.get(), message.stream);
+        if (const auto sink = sinkOf(key)) {
+            m_streams.erase(key);
+            sink->end(resultFromNumber(static_cast<int>(message.code)).value_or(ResultCode::OutcomeUnknown),
+                      message.detail);
+        }
+        return;
+    }
+    if (type == CallFrame::Refused) {
+        const auto message = decodeMessage<RefusedMessage>(payload, ResultCode::FrameMalformed);
+        const Key key(link.get(), message.stream);
+        if (const auto sink = sinkOf(key)) {
+            m_streams.erase(key);
+            sink->refused(resultFromNumber(static_cast<int>(message.code)).value_or(ResultCode::NoEndpoint),
+                          message.detail);
+        }
+        return;
+    }
+    throw ResultError(ResultCode::FrameMalformed, "unknown frame type");
+}
+
+void CallClient::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
+{
+    auto position = m_streams.lower_bound({link.get(), 0});
+    while (position != m_streams.end() && position->first.first == link.get()) {
+        const auto sink = position->second->sink;
+        position = m_streams.erase(position);
+        m_loop.post([sink, reason] { sink->end(reason, "link down"); });
+    }
+}
+
+void CallClient::cancel(const Key &key)
+{
+    const auto found = m_streams.find(key);
+    if (found == m_streams.end()) {
+        return;
+    }
+    const auto &link = found->second->link;
+    link->dropBulk(StreamId(key.second));
+    link->send(static_cast<FrameType>(CallFrame::Cancel), encodeMessage(CancelMessage {key.second}));
+    m_streams.erase(found);
+}
+
+void CallClient::credit(const Key &key, std::size_t bytes)
+{
+    const auto found = m_streams.find(key);
+    if (found == m_streams.end()) {
+        return;
+    }
+    found->second->link->send(static_cast<FrameType>(CallFrame::Credit),
+                              encodeMessage(CreditMessage {key.second, bytes}));
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/node/callserver.cpp
@@ -0,0 +1,186 @@
+// Streams of attempts from other nodes.
+#include "jasminemast/node/callserver.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+/// One attempt from another node. Holds its link while it exists.
+struct CallServer::Stream
+{
+    explicit Stream(std::shared_ptr<Link> on)
+        : link(std::move(on))
+    {
+        link->hold();
+    }
+
+    ~Stream()
+    {
+        link->release();
+    }
+
+    Stream(const Stream &) = delete;
+    Stream &operator=(const Stream &) = delete;
+
+    std::shared_ptr<Link> link;
+    OpenMessage open;
+    TimePoint arrived;
+    std::string body;
+    std::unique_ptr<AttemptHandle> attempt; ///< null until the request body is whole
+};
+
+/// Sends an answer back over the link that the attempt came from.
+class CallServer::LinkSink final : public AnswerSink
+{
+public:
+    LinkSink(CallServer &server, std::shared_ptr<Link> link, std::uint64_t stream)
+        : m_server(server)
+        , m_link(std::move(link))
+        , m_stream(stream)
+    {
+    }
+
+    void refused(ResultCode code, const std::string &detail) override
+    {
+        const RefusedMessage message {m_stream, static_cast<std::uint32_t>(number(code)), detail};
+        m_link->send(static_cast<FrameType>(CallFrame::Refused), encodeMessage(message));
+        m_server.erase({m_link.get(), m_stream});
+    }
+
+    void head(const HeadMessage &head) override
+    {
+        HeadMessage message = head;
+        message.stream = m_stream;
+        m_link->send(static_cast<FrameType>(CallFrame::Head), encodeMessage(message));
+    }
+
+    void data(std::string_view bytes) override
+    {
+        while (!bytes.empty()) {
+            const std::string_view piece = bytes.substr(0, CallProtocol::DataFrameBytes);
+            bytes.remove_prefix(piece.size());
+            m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::Data),
+                             encodeDataFrame(m_stream, piece));
+        }
+    }
+
+    void end(ResultCode code, const std::string &detail) override
+    {
+        const EndMessage message {m_stream, static_cast<std::uint32_t>(number(code)), detail};
+        m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::End), encodeMessage(message));
+        m_server.erase({m_link.get(), m_stream});
+    }
+
+private:
+    CallServer &m_server;
+    std::shared_ptr<Link> m_link;
+    std::uint64_t m_stream;
+};
+
+CallServer::CallServer(TargetSide &target, const Clock &clock, std::size_t maxRequestBytes)
+    : m_target(target)
+    , m_clock(clock)
+    , m_maxRequestBytes(maxRequestBytes)
+{
+}
+
+CallServer::~CallServer() = default;
+
+void CallServer::onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload)
+{
+    if (type == CallFrame::Open) {
+        onOpen(link, payload);
+        return;
+    }
+    if (type == CallFrame::RequestBody) {
+        onRequestBody(link, payload);
+        return;
+    }
+    if (type == CallFrame::Credit) {
+        const auto message = decodeMessage<CreditMessage>(payload, ResultCode::FrameMalformed);
+        const auto found = m_streams.find({link.get(), message.stream});
+        if (found != m_streams.end() && found->second->attempt) {
+            found->second->attempt->credit(message.bytes);
+        }
+        return;
+    }
+    if (type == CallFrame::Cancel) {
+        const auto message = decodeMessage<CancelMessage>(payload, ResultCode::FrameMalformed);
+        const auto found = m_streams.find({link.get(), message.stream});
+        if (found == m_streams.end()) {
+            return;
+        }
+        if (found->second->attempt) {
+            found->second->attempt->cancel();
+        }
+        link->dropBulk(StreamId(message.stream));
+        m_streams.erase(found);
+        return;
+    }
+    throw ResultError(ResultCode::FrameMalformed, "unknown frame type");
+}
+
+void CallServer::onOpen(const std::shared_ptr<Link> &link, std::string_view payload)
+{
+    auto open = decodeMessage<OpenMessage>(payload, ResultCode::FrameMalformed);
+    if (open.bodyBytes > m_maxRequestBytes) {
+        throw ResultError(ResultCode::RequestTooLarge, std::to_string(open.bodyBytes) + " bytes");
+    }
+    const Key key(link.get(), open.stream);
+    if (m_streams.contains(key)) {
+        throw ResultError(ResultCode::FrameMalformed, "stream opened twice");
+    }
+    auto stream = std::make_unique<Stream>(link);
+    stream->open = std::move(open);
+    stream->arrived = m_clock.now();
+    Stream &opened = *stream;
+    m_streams.emplace(key, std::move(stream));
+    startIfWhole(link, opened);
+}
+
+void CallServer::onRequestBody(const std::shared_ptr<Link> &link, std::string_view payload)
+{
+    const DataFrame frame = decodeDataFrame(payload);
+    const auto found = m_streams.find({link.get(), frame.stream});
+    if (found == m_streams.end()) {
+        return;
+    }
+    Stream &stream = *found->second;
+    if (stream.attempt || stream.body.size() + frame.bytes.size() > stream.open.bodyBytes) {
+        throw ResultError(ResultCode::FrameMalformed, "request body longer than announced");
+    }
+    stream.body.append(frame.bytes);
+    startIfWhole(link, stream);
+}
+
+void CallServer::startIfWhole(const std::shared_ptr<Link> &link, Stream &stream)
+{
+    if (stream.body.size() < stream.open.bodyBytes) {
+        return;
+    }
+    const auto waited = std::chrono::duration_cast<Milliseconds>(m_clock.now() - stream.arrived).count();
+    OpenMessage open = stream.open;
+    open.remainingMs -= static_cast<std::uint32_t>(std::min<std::int64_t>(waited, open.remainingMs));
+    const auto sink = std::make_shared<LinkSink>(*this, link, open.stream);
+    stream.attempt = m_target.open(std::move(open), std::move(stream.body), sink);
+}
+
+void CallServer::erase(const Key &key)
+{
+    m_streams.erase(key);
+}
+
+void CallServer::onLinkDown(const std::shared_ptr<Link> &link)
+{
+    auto position = m_streams.lower_bound({link.get(), 0});
+    while (position != m_streams.end() && position->first.first == link.get()) {
+        Stream &stream = *position->second;
+        if (stream.attempt && stream.open.repeatable) {
+            stream.attempt->cancel();
+        }
+        position = m_streams.erase(position);
+    }
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/node/operatorapi.cpp
@@ -0,0 +1,73 @@
+// Read-back for operators.
+#include "jasminemast/node/operatorapi.h"
+
+#include <nlohmann/json.hpp>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+constexpr unsigned StatusUnavailable = 503;
+const HttpHeaders JsonHeaders = {{"Content-Type", "application/json"}};
+
+} // namespace
+
+OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control)
+    : m_settings(settings)
+    , m_control(control)
+    , m_server(
+          loop, {settings.self.address, settings.operatorPort}, HttpServerLimits {},
+          [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); }, [](ResultCode) {})
+{
+}
+
+void OperatorApi::handle(const std::shared_ptr<HttpExchange> &exchange) const
+{
+    const std::string_view path = exchange->request().path();
+    if (path == "/v1/status") {
+        exchange->respond(StatusOk, JsonHeaders, statusJson());
+    } else if (path == "/v1/tickets") {
+        exchange->respond(StatusOk, JsonHeaders, logbookJson());
+    } else if (path == "/v1/ready") {
+        const bool ready = m_control.isReady();
+        exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
+    } else {
+        exchange->respond(StatusNotFound, JsonHeaders, "{\"error\":\"no such page\"}\n");
+    }
+}
+
+std::string OperatorApi::statusJson() const
+{
+    const StatePtr state = m_control.current();
+    nlohmann::json json;
+    json["host"] = m_settings.self.host.value();
+    json["zone"] = m_settings.self.zone.value();
+    json["region"] = m_settings.self.region.value();
+    json["number"] = state->number.value();
+    json["ticketDigest"] = state->ticketDigest.hex();
+    json["stateDigest"] = state->stateDigest.hex();
+    json["ready"] = m_control.isReady();
+    return json.dump() + "\n";
+}
+
+std::string OperatorApi::logbookJson() const
+{
+    auto json = nlohmann::json::array();
+    for (const LogbookEntry &entry : m_control.logbook()) {
+        nlohmann::json item;
+        item["number"] = entry.number.value();
+        item["digest"] = entry.digest.hex();
+        item["verdict"] = entry.code == ResultCode::Ok ? "accepted" : "refused";
+        item["code"] = number(entry.code);
+        item["detail"] = entry.detail;
+        item["inForceAt"] = std::chrono::duration_cast<Milliseconds>(entry.inForceAt.time_since_epoch()).count();
+        json.push_back(std::move(item));
+    }
+    return json.dump() + "\n";
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/node/sourcewatcher.cpp
@@ -0,0 +1,72 @@
+// The long poll of the platform's protocol.
+#include "jasminemast/node/sourcewatcher.h"
+
+namespace jasminemast
+{
+
+namespace
+{
+
+using std::chrono_literals::operator""ms;
+
+constexpr int WaitSeconds = 10;
+constexpr Milliseconds PollTimeout {15'000};
+constexpr Milliseconds RetryDelay {500};
+constexpr std::size_t MaxValueBytes = 1 << 20;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+
+} // namespace
+
+SourceWatcher::SourceWatcher(Loop &loop, HttpClient &http, std::string url, Handlers handlers)
+    : m_http(http)
+    , m_url(std::move(url))
+    , m_handlers(std::move(handlers))
+    , m_retryTimer(loop, [this] { poll(); })
+{
+}
+
+void SourceWatcher::start()
+{
+    m_retryTimer.start(0ms);
+}
+
+void SourceWatcher::stop()
+{
+    m_retryTimer.stop();
+    if (m_transfer) {
+        m_transfer->cancel();
+        m_transfer = nullptr;
+    }
+}
+
+void SourceWatcher::poll()
+{
+    HttpClientRequest request;
+    request.url = m_url + "?index=" + m_index + "&wait=" + std::to_string(WaitSeconds);
+    request.timeout = PollTimeout;
+    request.maxBodyBytes = MaxValueBytes;
+    m_transfer = m_http.fetch(std::move(request),
+                              [this](const HttpClientResult &result, unsigned status, const HttpHeaders &headers,
+                                     const std::string &body) { onAnswer(result, status, headers, body); });
+}
+
+void SourceWatcher::onAnswer(const HttpClientResult &result, unsigned status, const HttpHeaders &headers,
+                             std::string_view body)
+{
+    m_transfer = nullptr;
+    const std::string *index = findHeader(headers, "X-Index");
+    if (result.code != ResultCode::Ok || (status != StatusOk && status != StatusNotFound) || index == nullptr) {
+        m_handlers.onFailure(ResultCode::SourceUnreachable, result.detail);
+        m_retryTimer.start(RetryDelay);
+        return;
+    }
+    const bool changed = *index != m_index;
+    m_index = *index;
+    if (status == StatusOk && changed) {
+        m_handlers.onValue(body);
+    }
+    m_retryTimer.start(0ms);
+}
+
+} // namespace jasminemast
--- a/tools/jasminemast/main.cpp
+++ b/tools/jasminemast/main.cpp
@@ -1,16 +1,11 @@
-// The one program: dispatches to the sub-command named first on the command line.
-#include "jasminemast/support/result.h"
+// The one program; every sub-command is in lib/command.
+#include "jasminemast/command/command.h"
 
-#include <cstring>
-#include <iostream>
+#include <glog/logging.h>
 
 int main(int argc, char **argv)
 {
-    using namespace jasminemast;
-    if (argc >= 2 && std::strcmp(argv[1], "version") == 0) {
-        std::cout << "jasminemast " << JASMINEMAST_VERSION << '\n';
-        return 0;
-    }
-    std::cerr << "usage: jasminemast version\n";
-    return resultInfo(ResultCode::UsageError).exitStatus;
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    return jasminemast::runCommandLine(argc, argv);
 }
