--- a/include/jasminemast/node/directcontrol.h
+++ b/include/jasminemast/node/directcontrol.h
@@ -4,6 +4,7 @@
 #include "jasminemast/config/ticket.h"
 #include "jasminemast/node/sourcewatcher.h"
 #include "jasminemast/node/views.h"
+#include "jasminemast/support/metrics.h"
 
 #include <map>
 #include <memory>
@@ -26,7 +27,7 @@
 class DirectControl final : public ConfigView, public FleetView
 {
 public:
-    DirectControl(Loop &loop, const Clock &clock, const NodeSettings &settings);
+    DirectControl(Loop &loop, const Clock &clock, const NodeSettings &settings, Metrics &metrics);
 
     void start();
 
@@ -54,10 +55,12 @@
     void onTicket(TicketNumber number, const std::string &bytes);
     void onHosts(std::string_view value);
     void wakeWaiters();
+    void onPlatformFailure(const char *key, ResultCode code, const std::string &detail);
 
     Loop &m_loop;
     const Clock &m_clock;
     NodeSettings m_settings;
+    Metrics &m_metrics;
     HttpClient m_http;
     SourceWatcher m_headWatcher;
     SourceWatcher m_hostWatcher;
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -5,6 +5,7 @@
 #include "jasminemast/node/callclient.h"
 #include "jasminemast/node/targetside.h"
 #include "jasminemast/node/views.h"
+#include "jasminemast/support/metrics.h"
 #include "jasminemast/support/random.h"
 
 #include <memory>
@@ -23,6 +24,7 @@
     const FleetView &fleet;
     TargetSide &localTarget;
     CallClient &remote;
+    Metrics &metrics;
 };
 
 class EntryCall;
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -7,6 +7,7 @@
 #include "jasminemast/node/entryside.h"
 #include "jasminemast/node/operatorapi.h"
 #include "jasminemast/node/targetside.h"
+#include "jasminemast/support/metrics.h"
 
 namespace jasminemast
 {
@@ -28,12 +29,14 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
+    /// Brings the gauges up to date before they are read.
+    void updateGauges();
 
     Loop &m_loop;
-    const Clock &m_clock;
     NodeSettings m_settings;
     Incarnation m_incarnation;
     Random m_random;
+    Metrics m_metrics;
     DirectControl m_control;
     TargetSide m_target;
     LinkPool m_links;
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -3,15 +3,20 @@
 
 #include "jasminemast/net/httpserver.h"
 #include "jasminemast/node/directcontrol.h"
+#include "jasminemast/support/metrics.h"
+
+#include <functional>
 
 namespace jasminemast
 {
 
-/// Answers /v1/status, /v1/tickets and /v1/ready.
+/// Answers /v1/status, /v1/tickets, /v1/ready and /metrics.
 class OperatorApi
 {
 public:
-    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control);
+    /// \p updateGauges is called before metrics are rendered.
+    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
+                std::function<void()> updateGauges);
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange) const;
@@ -20,6 +25,8 @@
 
     const NodeSettings &m_settings;
     const DirectControl &m_control;
+    Metrics &m_metrics;
+    std::function<void()> m_updateGauges;
     HttpServer m_server;
 };
 
--- a/lib/node/directcontrol.cpp
+++ b/lib/node/directcontrol.cpp
@@ -58,20 +58,21 @@
     Timer timer;
 };
 
-DirectControl::DirectControl(Loop &loop, const Clock &clock, const NodeSettings &settings)
+DirectControl::DirectControl(Loop &loop, const Clock &clock, const NodeSettings &settings, Metrics &metrics)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(settings)
+    , m_metrics(metrics)
     , m_http(loop)
     , m_headWatcher(loop, m_http, settings.configSource + "/v1/kv/accepted",
                     {[this](std::string_view value) { onHead(value); },
-                     [](ResultCode, const std::string &detail) {
-                         logEvent(Event::SourceDown, {{"key", "accepted"}, {"detail", detail}});
+                     [this](ResultCode code, const std::string &detail) {
+                         onPlatformFailure("accepted", code, detail);
                      }})
     , m_hostWatcher(loop, m_http, settings.hostList + "/v1/hosts",
                     {[this](std::string_view value) { onHosts(value); },
-                     [](ResultCode, const std::string &detail) {
-                         logEvent(Event::SourceDown, {{"key", "hosts"}, {"detail", detail}});
+                     [this](ResultCode code, const std::string &detail) {
+                         onPlatformFailure("hosts", code, detail);
                      }})
     , m_retryTimer(loop, [this] { fetchNext(); })
 {
@@ -113,7 +114,7 @@
             fetchNext();
         }
     } catch (const ResultError &error) {
-        logEvent(Event::SourceDown, {{"key", "accepted"}, {"detail", error.what()}});
+        onPlatformFailure("accepted", error.code(), error.detail());
     }
 }
 
@@ -132,6 +133,7 @@
         [this, wanted](const HttpClientResult &result, unsigned status, const HttpHeaders &, std::string body) {
             m_fetching = false;
             if (result.code != ResultCode::Ok || status != StatusOk) {
+                onPlatformFailure("tickets", ResultCode::SourceUnreachable, result.detail);
                 m_retryTimer.start(FetchRetryDelay);
                 return;
             }
@@ -142,12 +144,14 @@
 void DirectControl::onTicket(TicketNumber number, const std::string &bytes)
 {
     if (number == m_head.number && sha256(bytes) != m_head.digest) {
+        m_metrics.count(Counter::PlatformFailures, ResultCode::DigestMismatch);
         logEvent(Event::TicketConflict, {{"number", std::to_string(number.value())}});
         m_retryTimer.start(FetchRetryDelay);
         return;
     }
     const Verdict verdict = applyTicket(m_state, number, bytes);
     m_state = verdict.state;
+    m_metrics.count(Counter::TicketsApplied, verdict.code);
     m_logbook.push_back({number, m_state->ticketDigest, verdict.code, verdict.detail, m_clock.wallNow()});
     logEvent(verdict.code == ResultCode::Ok ? Event::TicketApplied : Event::TicketRefused,
              {{"number", std::to_string(number.value())},
@@ -163,10 +167,16 @@
         m_hosts = parseHosts(value);
         m_hostsSeen = true;
     } catch (const ResultError &error) {
-        logEvent(Event::SourceDown, {{"key", "hosts"}, {"detail", error.what()}});
+        onPlatformFailure("hosts", error.code(), error.detail());
     }
 }
 
+void DirectControl::onPlatformFailure(const char *key, ResultCode code, const std::string &detail)
+{
+    m_metrics.count(Counter::PlatformFailures, code);
+    logEvent(Event::SourceDown, {{"key", key}, {"code", std::to_string(number(code))}, {"detail", detail}});
+}
+
 void DirectControl::wakeWaiters()
 {
     std::vector<std::shared_ptr<Waiter>> waiting;
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -126,6 +126,7 @@
     m_state = m_side.m_context.config.current();
     m_route = m_state->findRoute(request.method, request.path());
     if (m_route == nullptr) {
+        m_side.m_context.metrics.count(Counter::CallsNotRun, ResultCode::NoRoute);
         answerError(StatusNotFound, "not-run", ResultCode::NoRoute, "");
         return;
     }
@@ -174,9 +175,10 @@
     return std::chrono::duration_cast<Milliseconds>(m_deadline - m_side.m_context.clock.now());
 }
 
-void EntryCall::onRefused(ResultCode /*code*/, const std::string & /*detail*/)
+void EntryCall::onRefused(ResultCode code, const std::string & /*detail*/)
 {
     m_handle = nullptr;
+    m_side.m_context.metrics.count(Counter::CallRetries, code);
     tryNext();
 }
 
@@ -209,11 +211,13 @@
 {
     m_handle = nullptr;
     if (code == ResultCode::Ok && m_headSent) {
+        m_side.m_context.metrics.count(Counter::CallsAnswered);
         m_exchange->finish();
         finish();
         return;
     }
     if (!m_headSent && m_route->isRepeatable(m_exchange->request().method) && m_attempt < MaxAttempts) {
+        m_side.m_context.metrics.count(Counter::CallRetries, code);
         tryNext();
         return;
     }
@@ -242,11 +246,13 @@
 
 void EntryCall::answerNotRun(ResultCode code, const std::string &detail)
 {
+    m_side.m_context.metrics.count(Counter::CallsNotRun, code);
     answerError(StatusUnavailable, "not-run", code, detail);
 }
 
 void EntryCall::answerUnknown(ResultCode code, const std::string &detail)
 {
+    m_side.m_context.metrics.count(Counter::CallsUnknown, code);
     if (m_headSent) {
         m_exchange->abort();
         finish();
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -36,25 +36,26 @@
 
 Node::Node(Loop &loop, const Clock &clock, NodeSettings settings)
     : m_loop(loop)
-    , m_clock(clock)
     , m_settings(std::move(settings))
     , m_incarnation(startTimeAsIncarnation(clock))
     , m_random(std::random_device {}())
-    , m_control(loop, clock, m_settings)
+    , m_metrics(clock)
+    , m_control(loop, clock, m_settings, m_metrics)
     , m_target(loop, clock, m_control, m_settings.self.host, m_settings.targetAddress)
     , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
     , m_callServer(m_target, clock, m_settings.calls.maxRequestBytes)
     , m_callClient(loop, m_links)
-    , m_entry(EntryContext {loop, clock, m_random, m_control, m_control, m_target, m_callClient}, m_settings,
+    , m_entry(EntryContext {loop, clock, m_random, m_control, m_control, m_target, m_callClient, m_metrics}, m_settings,
               m_incarnation)
     , m_callerServer(
           loop, SocketAddress {m_settings.self.address, m_settings.callerPort}, callerLimits(m_settings),
           [this](const std::shared_ptr<HttpExchange> &exchange) { m_entry.handle(exchange); },
-          [](ResultCode code) {
+          [this](ResultCode code) {
+              m_metrics.count(Counter::InputRefused, code);
               logEvent(Event::CallRefused, {{"code", std::to_string(number(code))}});
           })
-    , m_operators(loop, m_settings, m_control)
+    , m_operators(loop, m_settings, m_control, m_metrics, [this] { updateGauges(); })
     , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
     , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
     , m_drainTimer(loop, [this] { checkDrained(); })
@@ -78,7 +79,8 @@
     handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view payload) {
         onFrame(link, type, payload);
     };
-    handlers.onUp = [](const std::shared_ptr<Link> &link) {
+    handlers.onUp = [this](const std::shared_ptr<Link> &link) {
+        m_metrics.count(Counter::LinksUp);
         logEvent(Event::LinkUp, {{"peer", link->peer().host.value()}});
     };
     handlers.onDown = [this](const std::shared_ptr<Link> &link, ResultCode reason) {
@@ -99,6 +101,7 @@
 
 void Node::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
 {
+    m_metrics.count(Counter::LinksDown, reason);
     logEvent(Event::LinkDown, {{"peer", link->peer().host.value()}, {"reason", std::to_string(number(reason))}});
     m_callClient.onLinkDown(link, reason);
     m_callServer.onLinkDown(link);
@@ -118,4 +121,13 @@
     }
 }
 
+void Node::updateGauges()
+{
+    m_metrics.set(Gauge::TicketInForce, static_cast<double>(m_control.current()->number.value()));
+    m_metrics.set(Gauge::Ready, m_control.isReady() ? 1 : 0);
+    m_metrics.set(Gauge::LinksOpen, static_cast<double>(m_links.size()));
+    m_metrics.set(Gauge::CallsOpen, static_cast<double>(m_entry.open()));
+    m_metrics.set(Gauge::AttemptsRunning, static_cast<double>(m_target.running()));
+}
+
 } // namespace jasminemast
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -12,16 +12,21 @@
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 constexpr unsigned StatusUnavailable = 503;
+const HttpHeaders MetricsHeaders = {{"Content-Type", "text/plain; version=0.0.4"}};
 const HttpHeaders JsonHeaders = {{"Content-Type", "application/json"}};
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control)
+OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
+                         std::function<void()> updateGauges)
     : m_settings(settings)
     , m_control(control)
+    , m_metrics(metrics)
+    , m_updateGauges(std::move(updateGauges))
     , m_server(
           loop, {settings.self.address, settings.operatorPort}, HttpServerLimits {},
-          [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); }, [](ResultCode) {})
+          [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); },
+          [&metrics](ResultCode code) { metrics.count(Counter::InputRefused, code); })
 {
 }
 
@@ -35,6 +40,9 @@
     } else if (path == "/v1/ready") {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
+    } else if (path == "/metrics") {
+        m_updateGauges();
+        exchange->respond(StatusOk, MetricsHeaders, m_metrics.render());
     } else {
         exchange->respond(StatusNotFound, JsonHeaders, "{\"error\":\"no such page\"}\n");
     }
