--- a/include/jasminemast/net/datagramsocket.h
+++ b/include/jasminemast/net/datagramsocket.h
@@ -20,7 +20,8 @@
     /// \throws ResultError with BindFailed.
     DatagramSocket(Loop &loop, const SocketAddress &local, Handler handler);
 
-    /// Sends \p bytes to \p destination; false when the system did not take them.
+    /// Sends \p bytes to \p destination; false when the system did not take them or the
+    /// address is not valid.
     bool send(const SocketAddress &destination, std::string_view bytes);
 
 private:
--- a/include/jasminemast/net/httpclient.h
+++ b/include/jasminemast/net/httpclient.h
@@ -71,6 +71,7 @@
 
     HttpTransfer(HttpClient &client, HttpClientRequest request, Handlers handlers);
     void configure();
+    void refuse();
     void deliverHead();
     HttpClientResult resultOf(CURLcode code) const;
 
@@ -81,7 +82,9 @@
     curl_slist *m_headerList = nullptr;
     HttpHeaders m_responseHeaders;
     unsigned m_status = 0;
+    std::size_t m_headBytes = 0;
     std::size_t m_bodyBytes = 0;
+    bool m_answerTooLarge = false;
     int m_sendings = 0; ///< times that the request was about to be sent
     bool m_headDelivered = false;
     bool m_paused = false;
--- a/include/jasminemast/net/httpmessage.h
+++ b/include/jasminemast/net/httpmessage.h
@@ -29,6 +29,12 @@
 /// The first value under \p name, or null.
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name);
 
+/// True when \p text is a token of RFC 9110 section 5.6.2, as methods and header names must be.
+bool isToken(std::string_view text);
+
+/// True when \p text has no control character but tabs, so that it cannot end its line.
+bool isFieldValue(std::string_view text);
+
 /// True for headers that concern one connection only and are never passed on (RFC 9110 section 7.6.1), and for
 /// those that the sending library writes itself.
 bool isHopByHop(std::string_view name);
--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -8,9 +8,9 @@
 
 #include <cstdint>
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -82,7 +82,8 @@
     HttpServer &m_server;
     MHD_Connection *m_connection; ///< null once libmicrohttpd has let go of the request
     HttpRequest m_request;
-    bool m_tooLarge = false;
+    ResultCode m_refusal = ResultCode::Ok; ///< why the request never reaches the handler
+    std::size_t m_droppedBytes = 0; ///< body bytes beyond the limit, read and dropped
     bool m_dispatched = false;
     bool m_suspended = false;
     bool m_responded = false;
@@ -127,6 +128,8 @@
     void scheduleRun();
     void run();
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
+    void refuse(HttpExchange &exchange);
+    void forgetConnection(MHD_Connection *connection);
 
     Loop &m_loop;
     HttpServerLimits m_limits;
@@ -137,7 +140,7 @@
     Timer m_timer;
     bool m_runScheduled = false;
     bool m_quiesced = false;
-    std::set<std::shared_ptr<HttpExchange>> m_open; ///< exchanges that libmicrohttpd still knows
+    std::map<MHD_Connection *, std::shared_ptr<HttpExchange>> m_open; ///< requests that libmicrohttpd still knows
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -101,9 +101,20 @@
     {
         return m_holds > 0;
     }
-    [[nodiscard]] TimePoint lastReceived() const
+    /// True while the peer owes a sign of life: somebody holds the link, or a frame was sent since the last receipt.
+    [[nodiscard]] bool expectsLife() const
     {
-        return m_lastReceived;
+        return isHeld() || m_sentSinceReceipt;
+    }
+    /// Start of the present silence: the last receipt, or the first frame sent after it.
+    [[nodiscard]] TimePoint quietSince() const
+    {
+        return m_quietSince;
+    }
+    /// The address that was dialled; empty for accepted links.
+    [[nodiscard]] const SocketAddress &dialledAddress() const
+    {
+        return m_dialledAddress;
     }
     [[nodiscard]] TimePoint lastUsed() const
     {
@@ -117,6 +128,8 @@
     void start();
     void onIo(int events);
     void finishConnect();
+    void enqueueUrgent(FrameType type, std::string_view payload);
+    void noteSending();
     void readAvailable();
     bool parseFrames();
     void handleFrame(FrameType type, std::string_view payload);
@@ -134,13 +147,15 @@
     IoWatcher m_watcher;
 
     LinkIdentity m_peer;
+    SocketAddress m_dialledAddress;
     bool m_outgoing = false;
     bool m_connecting = false;
     bool m_up = false;
     bool m_closed = false;
     bool m_flushScheduled = false;
     int m_holds = 0;
-    TimePoint m_lastReceived;
+    bool m_sentSinceReceipt = false;
+    TimePoint m_quietSince;
     TimePoint m_lastUsed;
 
     std::string m_in; ///< received bytes that are not yet a whole frame
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -13,8 +13,8 @@
 /// Timing of links.
 struct LinkSettings
 {
-    Milliseconds heartbeatInterval {500}; ///< probe of a held link that was quiet this long
-    Milliseconds silenceLimit {1'500}; ///< a held link that was quiet this long is abandoned
+    Milliseconds heartbeatInterval {500}; ///< probe of a link whose peer owes an answer for this long
+    Milliseconds silenceLimit {1'500}; ///< a link whose peer owes an answer for this long is abandoned
     Milliseconds idleLimit {30'000}; ///< an unused link is closed after this time
 };
 
@@ -28,7 +28,8 @@
              Link::Handlers handlers);
     ~LinkPool();
 
-    /// The link to \p host that this node dialled, dialled now if there is none. Frames may be sent at once.
+    /// The link to \p host at \p address that this node dialled, dialled now if there is none. Frames may be sent at
+    /// once; what goes wrong, also an invalid address, is reported through onDown.
     std::shared_ptr<Link> connect(const HostId &host, const SocketAddress &address);
 
     [[nodiscard]] std::size_t size() const
--- a/include/jasminemast/support/archive.h
+++ b/include/jasminemast/support/archive.h
@@ -112,6 +112,19 @@
     tag.size = size;
 }
 
+/// Grows with the elements that are really there, since one element in memory can be far larger than its bytes.
+template<class T, class Allocator>
+std::enable_if_t<!std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(DecodeArchive &archive,
+                                                                     std::vector<T, Allocator> &vector)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    vector.clear();
+    for (cereal::size_type i = 0; i < size; ++i) {
+        archive(vector.emplace_back());
+    }
+}
+
 template<class T>
 void CEREAL_SAVE_FUNCTION_NAME(EncodeArchive &archive, const cereal::BinaryData<T> &data)
 {
--- a/lib/net/datagramsocket.cpp
+++ b/lib/net/datagramsocket.cpp
@@ -42,7 +42,12 @@
 
 bool DatagramSocket::send(const SocketAddress &destination, std::string_view bytes)
 {
-    const sockaddr_in system = toSystemAddress(destination);
+    sockaddr_in system {};
+    try {
+        system = toSystemAddress(destination);
+    } catch (const ResultError &) {
+        return false;
+    }
     const ssize_t sent = ::sendto(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL,
                                   reinterpret_cast<const sockaddr *>(&system), sizeof(system));
     return sent == static_cast<ssize_t>(bytes.size());
--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::size_t MaxSpareHandles = 64;
 constexpr long MaxIdleConnectionSeconds = 20;
+/// An answer with a longer head fails; it would not fit one link frame.
+constexpr std::size_t MaxHeadBytes = 256 << 10;
 
 std::string_view trim(std::string_view text)
 {
@@ -27,12 +29,22 @@
 std::optional<std::uint64_t> contentLength(const HttpHeaders &headers)
 {
     const std::string *text = findHeader(headers, "Content-Length");
-    if (text == nullptr) {
+    if (text == nullptr || findHeader(headers, "Transfer-Encoding") != nullptr) {
         return std::nullopt;
     }
     return std::strtoull(text->c_str(), nullptr, 10);
 }
 
+/// False when the request's parts could be read as other than one request.
+bool isSendable(const HttpClientRequest &request)
+{
+    const auto isSafe = [](const HttpHeader &header) {
+        return isToken(header.name) && isFieldValue(header.value);
+    };
+    return isToken(request.method) && isFieldValue(request.url)
+        && std::all_of(request.headers.begin(), request.headers.end(), isSafe);
+}
+
 } // namespace
 
 /// Readiness of one of libcurl's sockets.
@@ -80,6 +92,11 @@
     {
         auto *transfer = static_cast<HttpTransfer *>(context);
         const std::string_view line(data, size * count);
+        transfer->m_headBytes += line.size();
+        if (transfer->m_headBytes > MaxHeadBytes) {
+            transfer->m_answerTooLarge = true;
+            return 0;
+        }
         if (line.starts_with("HTTP/")) {
             transfer->m_responseHeaders.clear();
             return line.size();
@@ -102,6 +119,7 @@
         transfer->deliverHead();
         transfer->m_bodyBytes += bytes.size();
         if (transfer->m_bodyBytes > transfer->m_request.maxBodyBytes) {
+            transfer->m_answerTooLarge = true;
             return 0;
         }
         if (transfer->m_handlers.onData) {
@@ -201,12 +219,26 @@
     result.code = ResultCode::HttpTransferFailed;
     if (m_repeatPrevented) {
         result.code = ResultCode::RepeatPrevented;
+    } else if (m_answerTooLarge) {
+        result.code = ResultCode::AnswerTooLarge;
     } else if (code == CURLE_OPERATION_TIMEDOUT) {
         result.code = ResultCode::DeadlineExceeded;
     }
     return result;
 }
 
+void HttpTransfer::refuse()
+{
+    curl_easy_cleanup(std::exchange(m_easy, nullptr));
+    m_client.m_loop.post([self = shared_from_this()] {
+        const auto onDone = self->m_handlers.onDone;
+        self->m_handlers = {};
+        if (onDone) {
+            onDone({ResultCode::BadRequest, "method, target or header holds a forbidden character", false});
+        }
+    });
+}
+
 void HttpTransfer::cancel()
 {
     m_handlers = {};
@@ -259,7 +291,12 @@
 
 std::shared_ptr<HttpTransfer> HttpClient::start(HttpClientRequest request, HttpTransfer::Handlers handlers)
 {
+    const bool valid = isSendable(request);
     std::shared_ptr<HttpTransfer> transfer(new HttpTransfer(*this, std::move(request), std::move(handlers)));
+    if (!valid) {
+        transfer->refuse();
+        return transfer;
+    }
     m_active.emplace(transfer->m_easy, transfer);
     curl_multi_add_handle(m_multi, transfer->m_easy);
     return transfer;
--- a/lib/net/httpmessage.cpp
+++ b/lib/net/httpmessage.cpp
@@ -37,6 +37,20 @@
                       [](char a, char b) { return lower(a) == lower(b); });
 }
 
+bool isToken(std::string_view text)
+{
+    constexpr std::string_view Punctuation = "!#$%&'*+-.^_`|~";
+    return !text.empty() && std::all_of(text.begin(), text.end(), [Punctuation](char c) {
+        return std::isalnum(static_cast<unsigned char>(c)) != 0 || Punctuation.find(c) != std::string_view::npos;
+    });
+}
+
+bool isFieldValue(std::string_view text)
+{
+    return std::none_of(text.begin(), text.end(),
+                        [](char c) { return c != '\t' && std::iscntrl(static_cast<unsigned char>(c)) != 0; });
+}
+
 const std::string *findHeader(const HttpHeaders &headers, std::string_view name)
 {
     for (const HttpHeader &header : headers) {
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -7,6 +7,8 @@
 
 #include <algorithm>
 #include <cerrno>
+#include <charconv>
+#include <cstdarg>
 #include <cstring>
 #include <utility>
 
@@ -19,6 +21,24 @@
 constexpr std::size_t BodyBlockBytes = 32 << 10;
 constexpr std::size_t ConnectionMemoryBytes = 64 << 10;
 
+/// Body bytes beyond the limit that are still read, so that the caller sees its refusal; after them it is cut off.
+constexpr std::size_t MaxDroppedBytes = 4 << 20;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusContentTooLarge = 413;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned LeastFinalStatus = 200;
+constexpr unsigned MostStatus = 599;
+/// How libmicrohttpd's log names a request that it refuses by itself.
+constexpr std::string_view RefusalMessage = "Error processing request";
+
+bool announcesMoreThan(const HttpRequest &request, std::size_t limit)
+{
+    const std::string *text = findHeader(request.headers, "Content-Length");
+    std::uint64_t length = 0;
+    return text != nullptr && std::from_chars(text->data(), text->data() + text->size(), length).ec == std::errc()
+        && length > limit;
+}
+
 MHD_Result appendHeader(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
 {
     auto *headers = static_cast<HttpHeaders *>(target);
@@ -36,7 +56,7 @@
         auto *self = static_cast<HttpServer *>(server);
         const auto exchange = std::make_shared<HttpExchange>(*self, connection);
         exchange->m_request.target = uri;
-        self->m_open.insert(exchange);
+        self->m_open.insert_or_assign(connection, exchange);
         return exchange.get();
     }
 
@@ -48,39 +68,75 @@
         if (request.method.empty()) {
             request.method = method;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &request.headers);
+            checkHead(*exchange);
             return MHD_YES;
         }
         if (*size > 0) {
             takeBody(*exchange, std::string_view(data, *size));
             *size = 0;
-            return MHD_YES;
+            return exchange->m_droppedBytes > MaxDroppedBytes ? MHD_NO : MHD_YES;
         }
-        if (!exchange->m_dispatched) {
+        if (!exchange->m_dispatched && exchange->m_refusal == ResultCode::Ok) {
             exchange->m_dispatched = true;
             exchange->suspend();
             exchange->m_server.dispatch(exchange);
         }
+        if (!exchange->m_dispatched) {
+            exchange->m_dispatched = true;
+            exchange->m_server.refuse(*exchange);
+        }
         return MHD_YES;
     }
 
+    /// Refuses what the headers already show to be wrong; the answer goes out before the body comes in.
+    static void checkHead(HttpExchange &exchange)
+    {
+        if (!exchange.m_request.target.starts_with("/")) {
+            exchange.m_refusal = ResultCode::BadRequest;
+        } else if (announcesMoreThan(exchange.m_request, exchange.m_server.m_limits.maxBodyBytes)) {
+            exchange.m_refusal = ResultCode::RequestTooLarge;
+        }
+        if (exchange.m_refusal != ResultCode::Ok) {
+            exchange.m_dispatched = true;
+            exchange.m_server.refuse(exchange);
+        }
+    }
+
     static void takeBody(HttpExchange &exchange, std::string_view bytes)
     {
         if (exchange.m_request.body.size() + bytes.size() > exchange.m_server.m_limits.maxBodyBytes) {
-            exchange.m_tooLarge = true;
+            exchange.m_refusal = ResultCode::RequestTooLarge;
+            exchange.m_droppedBytes += bytes.size();
             return;
         }
         exchange.m_request.body.append(bytes);
     }
 
-    static void onCompleted(void *server, MHD_Connection * /*connection*/, void **context,
-                            MHD_RequestTerminationCode code)
+    /// libmicrohttpd answers malformed requests by itself and reports them only to its log.
+    static void onLog(void *server, const char *format, va_list /*arguments*/)
+    {
+        if (std::string_view(format).starts_with(RefusalMessage)) {
+            static_cast<HttpServer *>(server)->m_onRefusal(ResultCode::BadRequest);
+        }
+    }
+
+    /// A request that is refused by libmicrohttpd itself has no completion; its exchange ends with the connection.
+    static void onConnection(void *server, MHD_Connection *connection, void ** /*context*/,
+                             MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+            static_cast<HttpServer *>(server)->forgetConnection(connection);
+        }
+    }
+
+    static void onCompleted(void *server, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code)
     {
         if (*context == nullptr) {
             return;
         }
         const auto exchange = static_cast<HttpExchange *>(*context)->shared_from_this();
         *context = nullptr;
-        static_cast<HttpServer *>(server)->m_open.erase(exchange);
+        static_cast<HttpServer *>(server)->m_open.erase(connection);
         exchange->onCompleted(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     }
 
@@ -155,6 +211,9 @@
     if (m_connection == nullptr || m_responded) {
         return;
     }
+    if (status < LeastFinalStatus || status > MostStatus) {
+        status = StatusBadGateway;
+    }
     m_bodyState = BodyState::Open;
     MHD_Response *response = MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), BodyBlockBytes,
                                                                &HttpServerCallbacks::readBody, this, nullptr);
@@ -166,9 +225,13 @@
     for (const HttpHeader &header : headers) {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
     }
-    MHD_queue_response(m_connection, status, response);
-    MHD_destroy_response(response);
     m_responded = true;
+    const MHD_Result queued = MHD_queue_response(m_connection, status, response);
+    MHD_destroy_response(response);
+    if (queued != MHD_YES) {
+        abort();
+        return;
+    }
     resume();
 }
 
@@ -195,7 +258,7 @@
         return;
     }
     if (!m_responded) {
-        beginBody(502, {}, std::nullopt);
+        beginBody(StatusBadGateway, {}, std::nullopt);
     }
     m_bodyState = BodyState::Aborted;
     const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
@@ -255,12 +318,13 @@
 {
     const sockaddr_in system = toSystemAddress(local);
     m_daemon = MHD_start_daemon(
-        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, local.port, nullptr, nullptr, &HttpServerCallbacks::onRequest, this,
-        MHD_OPTION_SOCK_ADDR, &system, MHD_OPTION_URI_LOG_CALLBACK, &HttpServerCallbacks::onUri, this,
-        MHD_OPTION_NOTIFY_COMPLETED, &HttpServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT,
-        m_limits.maxConnections, MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes,
-        MHD_OPTION_CONNECTION_TIMEOUT, static_cast<unsigned>(m_limits.idleTimeout.count()),
-        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, local.port, nullptr, nullptr,
+        &HttpServerCallbacks::onRequest, this, MHD_OPTION_SOCK_ADDR, &system, MHD_OPTION_URI_LOG_CALLBACK,
+        &HttpServerCallbacks::onUri, this, MHD_OPTION_EXTERNAL_LOGGER, &HttpServerCallbacks::onLog, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &HttpServerCallbacks::onConnection, this, MHD_OPTION_NOTIFY_COMPLETED,
+        &HttpServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         throw ResultError(ResultCode::BindFailed, "HTTP " + local.toString() + ": " + std::strerror(errno));
     }
@@ -272,7 +336,7 @@
 {
     m_watcher.stop();
     const auto open = m_open;
-    for (const auto &exchange : open) {
+    for (const auto &[connection, exchange] : open) {
         exchange->m_onCancelled = nullptr;
         exchange->abort();
     }
@@ -315,12 +379,28 @@
 
 void HttpServer::dispatch(const std::shared_ptr<HttpExchange> &exchange)
 {
-    if (exchange->m_tooLarge) {
-        m_onRefusal(ResultCode::RequestTooLarge);
-        exchange->respond(413, {{"Jasminemast-Outcome", "not-run"}}, "request body exceeds the size limit\n");
+    m_loop.post([this, exchange] { m_handler(exchange); });
+}
+
+void HttpServer::refuse(HttpExchange &exchange)
+{
+    m_onRefusal(exchange.m_refusal);
+    const bool tooLarge = exchange.m_refusal == ResultCode::RequestTooLarge;
+    const HttpHeaders headers
+        = {{"Jasminemast-Outcome", "not-run"}, {"Jasminemast-Code", std::to_string(number(exchange.m_refusal))}};
+    exchange.respond(tooLarge ? StatusContentTooLarge : StatusBadRequest, headers,
+                     std::string(resultInfo(exchange.m_refusal).text) + "\n");
+}
+
+void HttpServer::forgetConnection(MHD_Connection *connection)
+{
+    const auto found = m_open.find(connection);
+    if (found == m_open.end()) {
         return;
     }
-    m_loop.post([this, exchange] { m_handler(exchange); });
+    const auto exchange = found->second;
+    m_open.erase(found);
+    exchange->onCompleted(false);
 }
 
 } // namespace jasminemast
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -71,7 +71,7 @@
     , m_self(std::move(self))
     , m_handlers(std::move(handlers))
     , m_watcher(loop, [this](int events) { onIo(events); })
-    , m_lastReceived(clock.now())
+    , m_quietSince(clock.now())
     , m_lastUsed(clock.now())
 {
 }
@@ -80,7 +80,14 @@
 {
     m_outgoing = true;
     m_peer.host = host;
-    const sockaddr_in system = toSystemAddress(address);
+    m_dialledAddress = address;
+    sockaddr_in system {};
+    try {
+        system = toSystemAddress(address);
+    } catch (const ResultError &error) {
+        close(error.code());
+        return;
+    }
     m_socket = Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
     if (!m_socket.isOpen()) {
         close(ResultCode::LinkLost);
@@ -115,16 +122,34 @@
         return;
     }
     m_lastUsed = m_clock.now();
+    noteSending();
+    enqueueUrgent(type, payload);
+}
+
+void Link::enqueueUrgent(FrameType type, std::string_view payload)
+{
     m_urgent.push_back(makeFrame(type, payload));
     scheduleFlush();
 }
 
+void Link::noteSending()
+{
+    if (m_sentSinceReceipt) {
+        return;
+    }
+    m_sentSinceReceipt = true;
+    if (!isHeld()) {
+        m_quietSince = m_clock.now();
+    }
+}
+
 void Link::sendBulk(StreamId stream, FrameType type, std::string_view payload)
 {
     if (m_closed) {
         return;
     }
     m_lastUsed = m_clock.now();
+    noteSending();
     m_bulk[stream].push_back(makeFrame(type, payload));
     scheduleFlush();
 }
@@ -152,7 +177,7 @@
 {
     ++m_holds;
     m_lastUsed = m_clock.now();
-    if (m_holds == 1) {
+    if (m_holds == 1 && !m_sentSinceReceipt) {
         forgiveSilence();
     }
 }
@@ -166,7 +191,7 @@
 
 void Link::forgiveSilence()
 {
-    m_lastReceived = m_clock.now();
+    m_quietSince = m_clock.now();
 }
 
 void Link::sendHeartbeat()
@@ -174,8 +199,7 @@
     if (m_closed) {
         return;
     }
-    m_urgent.push_back(makeFrame(HeartbeatType, {}));
-    scheduleFlush();
+    enqueueUrgent(HeartbeatType, {});
 }
 
 void Link::watch(bool writable)
@@ -221,7 +245,8 @@
             close(ResultCode::LinkLost);
             return;
         }
-        m_lastReceived = m_clock.now();
+        m_quietSince = m_clock.now();
+        m_sentSinceReceipt = false;
         m_in.append(buffer.data(), static_cast<std::size_t>(size));
         if (!parseFrames()) {
             return;
@@ -265,8 +290,8 @@
             throw ResultError(ResultCode::FrameMalformed, "frame before the hello");
         }
         if (type == HeartbeatType) {
-            m_urgent.push_back(makeFrame(HeartbeatAckType, {}));
-            scheduleFlush();
+            m_lastUsed = m_clock.now(); // the peer holds the link
+            enqueueUrgent(HeartbeatAckType, {});
             return;
         }
         if (type == HeartbeatAckType) {
@@ -285,6 +310,9 @@
     if (m_up || hello.version != ProtocolVersion) {
         throw ResultError(ResultCode::FrameMalformed, "unexpected hello");
     }
+    if (hello.identity.host.value().empty()) {
+        throw ResultError(ResultCode::FrameMalformed, "hello without a host");
+    }
     if (m_outgoing && hello.identity.host != m_peer.host) {
         throw ResultError(ResultCode::LinkWrongPeer, hello.identity.host.value());
     }
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -51,7 +51,7 @@
 std::shared_ptr<Link> LinkPool::connect(const HostId &host, const SocketAddress &address)
 {
     const auto found = m_dialled.find(host);
-    if (found != m_dialled.end() && !found->second->isClosed()) {
+    if (found != m_dialled.end() && !found->second->isClosed() && found->second->dialledAddress() == address) {
         return found->second;
     }
     auto link = makeLink();
@@ -85,7 +85,14 @@
 {
     while (true) {
         Descriptor socket(::accept4(m_listener.get(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+        if (!socket.isOpen() && errno == EINTR) {
+            continue;
+        }
         if (!socket.isOpen()) {
+            // Out of descriptors the listener stays readable: without this the loop would spin until one is free.
+            if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM) {
+                m_acceptWatcher.stop();
+            }
             return;
         }
         makeLink()->accept(std::move(socket));
@@ -105,8 +112,9 @@
 void LinkPool::checkLinks()
 {
     const TimePoint now = m_clock.now();
-    const bool wasPaused = now - m_lastCheck > m_settings.heartbeatInterval * 2;
+    const bool wasPaused = now - m_lastCheck > m_settings.heartbeatInterval;
     m_lastCheck = now;
+    m_acceptWatcher.start(m_listener.get(), EV_READ);
     const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
     for (const auto &link : links) {
         if (wasPaused) {
@@ -118,13 +126,14 @@
 
 void LinkPool::checkLink(Link &link, TimePoint now) const
 {
-    if (!link.isHeld()) {
-        if (now - link.lastUsed() > m_settings.idleLimit) {
-            link.close(ResultCode::LinkIdle);
-        }
+    if (!link.isHeld() && now - link.lastUsed() > m_settings.idleLimit) {
+        link.close(ResultCode::LinkIdle);
+        return;
+    }
+    if (!link.expectsLife()) {
         return;
     }
-    const Duration quiet = now - link.lastReceived();
+    const Duration quiet = now - link.quietSince();
     if (quiet > m_settings.silenceLimit) {
         link.close(ResultCode::LinkSilent);
         return;
--- /dev/null
+++ b/unittests/net/httpservertest.cpp
@@ -0,0 +1,262 @@
+// The HTTP server against well-formed, malformed and vanishing callers.
+#include "jasminemast/net/httpserver.h"
+
+#include "testpeer.h"
+
+#include "jasminemast/support/random.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+
+namespace jasminemast
+{
+namespace
+{
+
+class HttpServerTest : public testing::Test
+{
+protected:
+    void start(std::function<void(const std::shared_ptr<HttpExchange> &)> handler)
+    {
+        HttpServerLimits limits;
+        limits.maxBodyBytes = 1'000;
+        m_server = std::make_unique<HttpServer>(
+            m_loop, m_address, limits,
+            [this, handler = std::move(handler)](const std::shared_ptr<HttpExchange> &exchange) {
+                ++m_handled;
+                handler(exchange);
+            },
+            [this](ResultCode code) { ++m_refusals[code]; });
+    }
+
+    void startEcho()
+    {
+        start([](const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->respond(200, {}, exchange->request().body);
+        });
+    }
+
+    /// True when a new caller is served.
+    bool serves()
+    {
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+        return runUntil(m_loop, [&] { return peer.received("HTTP/1.1 200"); });
+    }
+
+    Loop m_loop;
+    SocketAddress m_address = testAddress();
+    std::map<ResultCode, int> m_refusals;
+    int m_handled = 0;
+    std::unique_ptr<HttpServer> m_server;
+};
+
+struct BadInput
+{
+    const char *name;
+    std::string bytes;
+    const char *answer; ///< start of the answer; null when the connection is just cut
+    ResultCode code;
+};
+
+std::vector<BadInput> badInputs()
+{
+    const std::string host = "Host: a\r\n";
+    return {
+        {"no header colon", "GET / HTTP/1.1\r\n" + host + "nonsense\r\n\r\n", "HTTP/1.1 400", ResultCode::BadRequest},
+        {"no version", "GET /\r\n\r\n", "HTTP/1", ResultCode::BadRequest},
+        {"oversized header", "GET / HTTP/1.1\r\n" + host + "X: " + std::string(100'000, 'x') + "\r\n\r\n",
+         "HTTP/1.1 431", ResultCode::BadRequest},
+        {"oversized target", "GET /" + std::string(100'000, 'x') + " HTTP/1.1\r\n" + host + "\r\n", "HTTP/1.1 414",
+         ResultCode::BadRequest},
+        {"target of another server", "GET @127.0.0.1/x HTTP/1.1\r\n" + host + "\r\n", "HTTP/1.1 400",
+         ResultCode::BadRequest},
+        {"absolute target", "GET http://127.0.0.1/x HTTP/1.1\r\n" + host + "\r\n", "HTTP/1.1 400",
+         ResultCode::BadRequest},
+        {"content length that is no number", "POST / HTTP/1.1\r\n" + host + "Content-Length: x\r\n\r\n", "HTTP/1.1 400",
+         ResultCode::BadRequest},
+        {"announced body too large", "POST / HTTP/1.1\r\n" + host + "Content-Length: 99999999999\r\n\r\n",
+         "HTTP/1.1 413", ResultCode::RequestTooLarge},
+        {"chunked body too large",
+         "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\n3e9\r\n" + std::string(1'001, 'x')
+             + "\r\n0\r\n\r\n",
+         "HTTP/1.1 413", ResultCode::RequestTooLarge},
+        {"chunk size that is no number",
+         "POST / HTTP/1.1\r\n" + host + "Transfer-Encoding: chunked\r\n\r\nzz\r\nabc\r\n0\r\n\r\n", "HTTP/1.1 400",
+         ResultCode::BadRequest},
+    };
+}
+
+TEST_F(HttpServerTest, RefusesBadInputWithACodeAndGoesOn)
+{
+    startEcho();
+    for (const BadInput &input : badInputs()) {
+        SCOPED_TRACE(input.name);
+        m_refusals.clear();
+        m_handled = 0;
+        TestPeer peer(m_address);
+        std::string_view rest = input.bytes;
+        EXPECT_TRUE(runUntil(m_loop, [&] {
+            rest.remove_prefix(peer.write(rest));
+            return peer.received(input.answer) || peer.isOver();
+        }));
+        EXPECT_TRUE(peer.received(input.answer)) << peer.read().substr(0, 100);
+        EXPECT_EQ(m_handled, 0);
+        EXPECT_EQ(m_refusals, (std::map<ResultCode, int> {{input.code, 1}}));
+        peer.close();
+        EXPECT_TRUE(serves());
+    }
+}
+
+TEST_F(HttpServerTest, EndlessBodyIsCutOff)
+{
+    startEcho();
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] {
+        return peer.write("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n7fffffff\r\n") > 0;
+    });
+    const std::string block(100'000, 'x');
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        peer.write(block);
+        return peer.isOver();
+    }));
+    EXPECT_EQ(m_handled, 0);
+    EXPECT_TRUE(serves());
+}
+
+TEST_F(HttpServerTest, SurvivesRandomBytes)
+{
+    startEcho();
+    Random random(7);
+    for (int i = 0; i < 200; ++i) {
+        TestPeer peer(m_address);
+        std::string bytes = i % 2 == 0 ? "" : "POST /x HTTP/1.1\r\nHost: a\r\n";
+        for (std::uint64_t length = random.below(400); length > 0; --length) {
+            bytes.push_back(static_cast<char>(random.below(256)));
+        }
+        runUntil(m_loop, [&] { return peer.write(bytes) > 0 || bytes.empty(); });
+        if (i % 3 == 0) {
+            runUntil(m_loop, [] { return true; });
+        }
+    }
+    EXPECT_TRUE(serves());
+}
+
+TEST_F(HttpServerTest, CallerThatClosesWhileWaitingIsReported)
+{
+    int cancelled = 0;
+    std::shared_ptr<HttpExchange> waiting;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        waiting = exchange;
+        exchange->setCancelHandler([&] { ++cancelled; });
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return waiting != nullptr; }));
+    peer.close();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return cancelled == 1 && waiting->isOver(); }));
+    waiting->respond(200, {}, "late");
+    EXPECT_EQ(cancelled, 1);
+}
+
+TEST_F(HttpServerTest, CallerThatClosesWhileTheBodyIsPausedIsReported)
+{
+    int cancelled = 0;
+    std::shared_ptr<HttpExchange> waiting;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        waiting = exchange;
+        exchange->setCancelHandler([&] { ++cancelled; });
+        exchange->beginBody(200, {}, std::nullopt);
+        exchange->write("first");
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("first"); }));
+    peer.close();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return cancelled == 1 && waiting->isOver(); }));
+}
+
+TEST_F(HttpServerTest, BodyGivenInPiecesArrivesWhole)
+{
+    for (const bool withLength : {true, false}) {
+        std::shared_ptr<HttpExchange> open;
+        start([&](const std::shared_ptr<HttpExchange> &exchange) {
+            open = exchange;
+            exchange->beginBody(200, {}, withLength ? std::optional<std::uint64_t>(6) : std::nullopt);
+        });
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+        ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("\r\n\r\n"); }));
+        open->write("abc");
+        ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("abc"); }));
+        open->write("def");
+        open->finish();
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received(withLength ? "abcdef" : "\r\n0\r\n\r\n"); }));
+        EXPECT_TRUE(runUntil(m_loop, [&] { return open->isOver(); }));
+        m_server = nullptr;
+        m_address = testAddress();
+    }
+}
+
+TEST_F(HttpServerTest, AbortedBodyEndsWithoutItsClosingChunk)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {}, std::nullopt);
+        exchange->write("part");
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("part"); }));
+    open->abort();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isOver() && open->isOver(); }));
+    EXPECT_FALSE(peer.received("\r\n0\r\n"));
+}
+
+TEST_F(HttpServerTest, HeadRequestGetsTheLengthWithoutABody)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {}, 5'000'000);
+        exchange->finish();
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("HEAD / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("Content-Length: 5000000\r\n") && open->isOver(); }));
+}
+
+TEST_F(HttpServerTest, ImpossibleStatusBecomesBadGateway)
+{
+    for (const unsigned status : {0U, 42U, 101U, 70'000U}) {
+        SCOPED_TRACE(status);
+        start([status](const std::shared_ptr<HttpExchange> &exchange) {
+            exchange->beginBody(status, {}, 0);
+            exchange->finish();
+        });
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("HTTP/1.1 502"); }));
+        peer.close();
+        m_server = nullptr;
+        m_address = testAddress();
+    }
+}
+
+TEST_F(HttpServerTest, StopsWithRequestsOpen)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) { open = exchange; });
+    TestPeer waiting(m_address);
+    TestPeer malformed(m_address);
+    runUntil(m_loop, [&] { return waiting.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    runUntil(m_loop, [&] { return malformed.write("GET /x HTTP/1.1\r\nHost") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return open != nullptr; }));
+    m_server = nullptr;
+    EXPECT_TRUE(open->isOver());
+}
+
+} // namespace
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/net/linktest.cpp
@@ -0,0 +1,304 @@
+// Links against malformed, silent and replaced peers, and the order in which frames go out.
+#include "jasminemast/net/linkpool.h"
+
+#include "testpeer.h"
+
+#include "jasminemast/support/archive.h"
+#include "jasminemast/support/random.h"
+
+#include <gtest/gtest.h>
+
+#include <cstring>
+
+namespace jasminemast
+{
+namespace
+{
+
+using std::chrono_literals::operator""ms;
+
+constexpr FrameType HelloType = 1;
+constexpr FrameType HeartbeatType = 2;
+constexpr FrameType UserType = 20;
+constexpr FrameType BulkType = 21;
+
+std::string frame(FrameType type, std::string_view payload)
+{
+    const auto length = static_cast<std::uint32_t>(payload.size() + 1);
+    std::string bytes(reinterpret_cast<const char *>(&length), sizeof(length));
+    bytes.push_back(static_cast<char>(type));
+    return bytes.append(payload);
+}
+
+std::string hello(const std::string &host, std::uint32_t version = 1)
+{
+    return frame(HelloType, encodeMessage(version) + encodeMessage(LinkIdentity {HostId(host), Incarnation(1)}));
+}
+
+/// The types of the whole frames in \p bytes.
+std::vector<FrameType> frameTypes(std::string_view bytes)
+{
+    std::vector<FrameType> types;
+    std::uint32_t length = 0;
+    while (bytes.size() >= sizeof(length)) {
+        std::memcpy(&length, bytes.data(), sizeof(length));
+        if (bytes.size() < sizeof(length) + length) {
+            break;
+        }
+        types.push_back(static_cast<FrameType>(bytes[sizeof(length)]));
+        bytes.remove_prefix(sizeof(length) + length);
+    }
+    return types;
+}
+
+class LinkTest : public testing::Test
+{
+protected:
+    std::unique_ptr<LinkPool> makePool(const std::string &host, const SocketAddress &address,
+                                       Milliseconds idleLimit = 30'000ms)
+    {
+        return makePool(host, address, m_clock, idleLimit);
+    }
+
+    std::unique_ptr<LinkPool> makePool(const std::string &host, const SocketAddress &address, const Clock &clock,
+                                       Milliseconds idleLimit)
+    {
+        Link::Handlers handlers;
+        handlers.onFrame = [this](const std::shared_ptr<Link> &, FrameType, std::string_view payload) {
+            m_frames.emplace_back(payload);
+        };
+        handlers.onUp = [this](const std::shared_ptr<Link> &link) {
+            m_up.push_back(link);
+        };
+        handlers.onDown = [this](const std::shared_ptr<Link> &, ResultCode reason) {
+            m_down.push_back(reason);
+        };
+        return std::make_unique<LinkPool>(m_loop, clock, LinkIdentity {HostId(host), Incarnation(5)}, address,
+                                          LinkSettings {20ms, 60ms, idleLimit}, handlers);
+    }
+
+    /// Moves the test's clock with the loop's time until \p done holds.
+    bool runTicking(const std::function<bool()> &done)
+    {
+        return runUntil(m_loop, [&] {
+            m_clock.advance(1ms);
+            return done();
+        });
+    }
+
+    Loop m_loop;
+    ManualClock m_clock;
+    std::vector<std::string> m_frames;
+    std::vector<std::shared_ptr<Link>> m_up;
+    std::vector<ResultCode> m_down;
+    SocketAddress m_address = testAddress();
+};
+
+struct BadBytes
+{
+    const char *name;
+    std::string bytes;
+    ResultCode code;
+};
+
+TEST_F(LinkTest, RefusesBadBytesWithACode)
+{
+    const std::string huge = "\xff\xff\xff\x7f";
+    const std::vector<BadBytes> table = {
+        {"frame before the hello", frame(UserType, "x"), ResultCode::FrameMalformed},
+        {"empty frame", std::string(4, '\0'), ResultCode::FrameTooLarge},
+        {"oversized frame", huge + "x", ResultCode::FrameTooLarge},
+        {"hello cut short", frame(HelloType, "\1\0\0"), ResultCode::FrameMalformed},
+        {"hello with bytes left over", frame(HelloType, hello("h2").substr(5) + "x"), ResultCode::FrameMalformed},
+        {"hello of another version", hello("h2", 2), ResultCode::FrameMalformed},
+        {"hello without a host", hello(""), ResultCode::FrameMalformed},
+        {"second hello", hello("h2") + hello("h2"), ResultCode::FrameMalformed},
+        {"text", "GET / HTTP/1.1\r\n\r\n", ResultCode::FrameTooLarge},
+    };
+    const auto pool = makePool("h1", m_address);
+    for (const BadBytes &input : table) {
+        SCOPED_TRACE(input.name);
+        m_down.clear();
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write(input.bytes) > 0; });
+        EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty() && peer.isOver(); }));
+        EXPECT_EQ(m_down, std::vector<ResultCode> {input.code});
+        EXPECT_EQ(pool->size(), 0U);
+    }
+    EXPECT_TRUE(m_frames.empty());
+}
+
+TEST_F(LinkTest, FrameCutByTheEndOfTheConnectionIsNotDelivered)
+{
+    const auto pool = makePool("h1", m_address);
+    TestPeer peer(m_address);
+    const std::string whole = frame(UserType, "whole");
+    runUntil(m_loop, [&] { return peer.write(hello("h2") + whole + whole.substr(0, whole.size() - 1)) > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_frames.size() == 1; }));
+    peer.close();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty(); }));
+    EXPECT_EQ(m_frames, std::vector<std::string> {"whole"});
+}
+
+TEST_F(LinkTest, SurvivesRandomBytes)
+{
+    const auto pool = makePool("h1", m_address);
+    Random random(11);
+    for (int i = 0; i < 100; ++i) {
+        std::string bytes = i % 2 == 0 ? "" : hello("h2");
+        for (std::uint64_t length = 1 + random.below(300); length > 0; --length) {
+            bytes.push_back(static_cast<char>(random.below(i % 4 == 1 ? 3 : 256)));
+        }
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write(bytes) > 0; });
+        peer.close();
+    }
+    EXPECT_TRUE(runUntil(m_loop, [&] { return pool->size() == 0; }));
+}
+
+TEST_F(LinkTest, WrongPeerIsRefused)
+{
+    TestListener listener(m_address);
+    const auto pool = makePool("h1", testAddress());
+    const auto link = pool->connect(HostId("h2"), m_address);
+    Descriptor socket;
+    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
+    TestPeer peer(std::move(socket));
+    peer.write(hello("h3"));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty(); }));
+    EXPECT_EQ(m_down, std::vector<ResultCode> {ResultCode::LinkWrongPeer});
+}
+
+TEST_F(LinkTest, InvalidAddressIsReportedAndForgotten)
+{
+    const auto pool = makePool("h1", m_address);
+    const auto first = pool->connect(HostId("h2"), {"not-an-ip", 1});
+    first->send(UserType, "x");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty(); }));
+    EXPECT_EQ(m_down, std::vector<ResultCode> {ResultCode::AddressInvalid});
+    EXPECT_NE(pool->connect(HostId("h2"), m_address), first);
+}
+
+TEST_F(LinkTest, MovedHostIsDialledAtItsNewAddress)
+{
+    TestListener oldPlace(m_address);
+    const SocketAddress newAddress = testAddress();
+    TestListener newPlace(newAddress);
+    const auto pool = makePool("h1", testAddress());
+    const auto first = pool->connect(HostId("h2"), m_address);
+    EXPECT_EQ(pool->connect(HostId("h2"), m_address), first);
+    EXPECT_NE(pool->connect(HostId("h2"), newAddress), first);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return newPlace.accept().isOpen(); }));
+}
+
+/// A peer that says hello and then nothing more.
+class SilentPeerTest : public LinkTest, public testing::WithParamInterface<bool>
+{
+};
+
+TEST_P(SilentPeerTest, LinkThatOwesALifeSignIsAbandonedAndReplaced)
+{
+    const bool held = GetParam();
+    TestListener listener(m_address);
+    const auto pool = makePool("h1", testAddress());
+    const auto link = pool->connect(HostId("h2"), m_address);
+    Descriptor socket;
+    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
+    TestPeer peer(std::move(socket));
+    peer.write(hello("h2"));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
+    if (held) {
+        link->hold();
+    } else {
+        link->send(UserType, "question");
+    }
+    EXPECT_TRUE(runTicking([&] { return !m_down.empty(); }));
+    EXPECT_EQ(m_down, std::vector<ResultCode> {ResultCode::LinkSilent});
+    EXPECT_NE(pool->connect(HostId("h2"), m_address), link);
+}
+
+INSTANTIATE_TEST_SUITE_P(HeldOrAsked, SilentPeerTest, testing::Bool());
+
+TEST_F(LinkTest, AnsweringPeerKeepsAHeldLinkForGood)
+{
+    constexpr Milliseconds IdleLimit {200};
+    const auto server = makePool("h2", m_address, IdleLimit);
+    const auto client = makePool("h1", testAddress(), IdleLimit);
+    const auto link = client->connect(HostId("h2"), m_address);
+    link->hold();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_up.size() == 2; }));
+    const TimePoint end = m_clock.now() + 3 * IdleLimit;
+    EXPECT_TRUE(runTicking([&] { return m_clock.now() > end; }));
+    EXPECT_TRUE(m_down.empty());
+}
+
+TEST_F(LinkTest, PauseOfThisProcessIsNoSilenceOfThePeer)
+{
+    const ManualClock serverClock;
+    const auto server = makePool("h2", m_address, serverClock, 30'000ms);
+    const auto client = makePool("h1", testAddress());
+    const auto link = client->connect(HostId("h2"), m_address);
+    link->hold();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_up.size() == 2; }));
+    m_clock.advance(std::chrono::hours(1));
+    const TimePoint end = m_clock.now() + 100ms;
+    EXPECT_TRUE(runTicking([&] { return m_clock.now() > end; }));
+    EXPECT_TRUE(m_down.empty());
+}
+
+TEST_F(LinkTest, UnheldLinkWithoutTrafficIdlesOut)
+{
+    const auto server = makePool("h2", m_address);
+    const auto client = makePool("h1", testAddress());
+    client->connect(HostId("h2"), m_address);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_up.size() == 2; }));
+    m_clock.advance(std::chrono::minutes(1));
+    EXPECT_TRUE(runTicking([&] { return m_down.size() == 2; }));
+    EXPECT_NE(std::find(m_down.begin(), m_down.end(), ResultCode::LinkIdle), m_down.end());
+}
+
+TEST_F(LinkTest, UrgentFrameOvertakesBulkAndStreamsTakeTurns)
+{
+    constexpr int SmallBufferBytes = 8'192;
+    constexpr std::size_t PieceBytes = 16'000;
+    constexpr int Pieces = 500;
+    TestListener listener(m_address, SmallBufferBytes);
+    const auto pool = makePool("h1", testAddress());
+    const auto link = pool->connect(HostId("h2"), m_address);
+    Descriptor socket;
+    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
+    TestPeer peer(std::move(socket));
+    peer.write(hello("h2"));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
+    for (int i = 0; i < Pieces; ++i) {
+        link->sendBulk(StreamId(1), BulkType, std::string(PieceBytes, '1'));
+    }
+    int ticks = 0;
+    runUntil(m_loop, [&] { return ++ticks > 20; });
+    link->sendBulk(StreamId(2), BulkType + 1, "short");
+    link->send(UserType, "urgent");
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        const auto types = frameTypes(peer.read());
+        return std::count(types.begin(), types.end(), BulkType) == Pieces;
+    }));
+    const auto types = frameTypes(peer.read());
+    const auto urgent = std::find(types.begin(), types.end(), UserType) - types.begin();
+    const auto otherStream = std::find(types.begin(), types.end(), BulkType + 1) - types.begin();
+    EXPECT_LT(urgent, Pieces / 10);
+    EXPECT_LT(otherStream, Pieces / 10);
+}
+
+TEST_F(LinkTest, DroppedStreamSendsNoMore)
+{
+    const auto server = makePool("h2", m_address);
+    const auto client = makePool("h1", testAddress());
+    const auto link = client->connect(HostId("h2"), m_address);
+    link->sendBulk(StreamId(1), BulkType, "dropped");
+    link->sendBulk(StreamId(2), BulkType, "kept");
+    link->dropBulk(StreamId(1));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_frames.empty(); }));
+    EXPECT_EQ(m_frames, std::vector<std::string> {"kept"});
+}
+
+} // namespace
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/net/testpeer.h
@@ -0,0 +1,128 @@
+// Helpers of the network tests: addresses of this process alone, a loop that runs until something holds, and a bare
+// TCP peer that writes any bytes.
+#pragma once
+
+#include "jasminemast/net/loop.h"
+#include "jasminemast/net/socketaddress.h"
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+namespace jasminemast
+{
+
+/// An address of 127/8 that no other test process uses, below the system's ephemeral ports.
+inline SocketAddress testAddress()
+{
+    static std::uint16_t port = 7100;
+    const auto pid = static_cast<unsigned>(::getpid());
+    return {"127.77." + std::to_string(pid / 200 % 200 + 1) + "." + std::to_string(pid % 200 + 1), ++port};
+}
+
+/// Runs the loop until \p done holds; false when it still does not after a time far beyond any that the test needs.
+inline bool runUntil(Loop &loop, const std::function<bool()> &done)
+{
+    using std::chrono_literals::operator""ms;
+    constexpr int MostChecks = 10'000;
+    int checks = 0;
+    Timer timer(loop, [&] {
+        if (done() || ++checks > MostChecks) {
+            loop.stop();
+        }
+    });
+    timer.startRepeating(1ms);
+    loop.run();
+    return checks <= MostChecks;
+}
+
+/// One TCP connection without a protocol.
+class TestPeer
+{
+public:
+    explicit TestPeer(const SocketAddress &server)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        const sockaddr_in system = toSystemAddress(server);
+        ::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system));
+    }
+
+    explicit TestPeer(Descriptor socket)
+        : m_socket(std::move(socket))
+    {
+    }
+
+    /// Writes what the socket takes and gives the number of bytes.
+    std::size_t write(std::string_view bytes)
+    {
+        const ssize_t size = ::send(m_socket.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL);
+        return size < 0 ? 0 : static_cast<std::size_t>(size);
+    }
+
+    /// Everything received so far.
+    const std::string &read()
+    {
+        char buffer[65'536];
+        ssize_t size = 0;
+        while ((size = ::recv(m_socket.get(), buffer, sizeof(buffer), 0)) > 0) {
+            m_received.append(buffer, static_cast<std::size_t>(size));
+        }
+        m_isOver = m_isOver || size == 0 || (errno != EAGAIN && errno != ENOTCONN);
+        return m_received;
+    }
+
+    bool received(std::string_view text)
+    {
+        return read().find(text) != std::string::npos;
+    }
+
+    /// True once the other side has closed or reset the connection.
+    bool isOver()
+    {
+        read();
+        return m_isOver;
+    }
+
+    void close()
+    {
+        m_socket.close();
+    }
+
+private:
+    Descriptor m_socket;
+    std::string m_received;
+    bool m_isOver = false;
+};
+
+/// Listens for TestPeers.
+class TestListener
+{
+public:
+    explicit TestListener(const SocketAddress &local, int receiveBuffer = 0)
+        : m_socket(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0))
+    {
+        if (receiveBuffer > 0) {
+            ::setsockopt(m_socket.get(), SOL_SOCKET, SO_RCVBUF, &receiveBuffer, sizeof(receiveBuffer));
+        }
+        const sockaddr_in system = toSystemAddress(local);
+        if (::bind(m_socket.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0
+            || ::listen(m_socket.get(), 16) != 0) {
+            throw std::runtime_error("cannot listen on " + local.toString());
+        }
+    }
+
+    /// The next connection; not open when there is none.
+    Descriptor accept()
+    {
+        return Descriptor(::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK));
+    }
+
+private:
+    Descriptor m_socket;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/support/archivetest.cpp
@@ -0,0 +1,118 @@
+// Decoding of messages from random and damaged bytes.
+#include "jasminemast/support/archive.h"
+#include "jasminemast/support/ids.h"
+
+#include <gtest/gtest.h>
+
+#include <rapidcheck/gtest.h>
+
+#include <map>
+#include <optional>
+
+namespace jasminemast
+{
+namespace
+{
+
+/// One field of each kind that messages use.
+struct SampleMessage
+{
+    std::uint64_t number = 0;
+    CallId call;
+    std::vector<std::pair<std::string, std::string>> headers;
+    std::vector<std::uint16_t> ports;
+    std::optional<std::uint64_t> length;
+    std::map<std::string, std::uint32_t> names;
+    bool flag = false;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(number, call, headers, ports, length, names, flag);
+    }
+};
+
+SampleMessage sample()
+{
+    SampleMessage message;
+    message.number = 7;
+    message.call = {HostId("h1"), Incarnation(2), 3};
+    message.headers = {{"A", "b"}, {"C", ""}};
+    message.ports = {1, 2};
+    message.length = 9;
+    message.names = {{"x", 1}};
+    message.flag = true;
+    return message;
+}
+
+TEST(Archive, GivesBackWhatWasEncoded)
+{
+    const std::string bytes = encodeMessage(sample());
+    const auto decoded = decodeMessage<SampleMessage>(bytes, ResultCode::FrameMalformed);
+    EXPECT_EQ(encodeMessage(decoded), bytes);
+    EXPECT_EQ(decoded.headers.at(1).first, "C");
+}
+
+TEST(Archive, RefusesEveryCutAndEveryExtraByte)
+{
+    const std::string bytes = encodeMessage(sample());
+    for (std::size_t size = 0; size < bytes.size(); ++size) {
+        EXPECT_THROW(decodeMessage<SampleMessage>(bytes.substr(0, size), ResultCode::FrameMalformed), ResultError)
+            << size;
+    }
+    EXPECT_THROW(decodeMessage<SampleMessage>(bytes + "x", ResultCode::FrameMalformed), ResultError);
+}
+
+/// Decodes; a refusal must carry the code that was asked for.
+bool isDecodedOrRefused(const std::string &bytes)
+{
+    try {
+        decodeMessage<SampleMessage>(bytes, ResultCode::DatagramMalformed);
+        return true;
+    } catch (const ResultError &error) {
+        return error.code() == ResultCode::DatagramMalformed;
+    }
+}
+
+RC_GTEST_PROP(Archive, DecodesOrRefusesRandomBytes, (const std::string &bytes))
+{
+    RC_ASSERT(isDecodedOrRefused(bytes));
+}
+
+RC_GTEST_PROP(Archive, DecodesOrRefusesDamagedMessages, (std::uint8_t value))
+{
+    std::string bytes = encodeMessage(sample());
+    bytes[*rc::gen::inRange<std::size_t>(0, bytes.size())] = static_cast<char>(value);
+    RC_ASSERT(isDecodedOrRefused(bytes));
+}
+
+/// An element that counts how many of it were ever made.
+struct CountedElement
+{
+    CountedElement()
+    {
+        ++s_made;
+    }
+
+    std::string text;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(text);
+    }
+
+    static inline int s_made = 0;
+};
+
+TEST(Archive, ClaimedLengthCostsNoMoreThanTheBytesThatAreThere)
+{
+    std::vector<CountedElement> elements;
+    const std::uint32_t claimed = 1'000;
+    const std::string bytes = encodeMessage(claimed) + std::string(1'000, '\xff');
+    EXPECT_THROW(decodeMessage<std::vector<CountedElement>>(bytes, ResultCode::FrameMalformed), ResultError);
+    EXPECT_EQ(CountedElement::s_made, 1);
+}
+
+} // namespace
+} // namespace jasminemast
