--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -30,7 +30,6 @@
     void checkDrained();
 
     Loop &m_loop;
-    const Clock &m_clock;
     NodeSettings m_settings;
     Incarnation m_incarnation;
     Random m_random;
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -15,7 +15,7 @@
 class TargetSide
 {
 public:
-    TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, HostId self, std::string targetAddress);
+    TargetSide(Loop &loop, const ConfigView &config, HostId self, std::string targetAddress);
 
     /// Runs one attempt whose request body is whole. The sink is called later, never from within this call.
     std::unique_ptr<AttemptHandle> open(OpenMessage open, std::string body, std::shared_ptr<AnswerSink> sink);
@@ -32,7 +32,6 @@
     [[nodiscard]] ResultCode admit(const OpenMessage &open, const Endpoint *endpoint) const;
 
     Loop &m_loop;
-    const Clock &m_clock;
     const ConfigView &m_config;
     HostId m_self;
     std::string m_targetAddress;
--- a/lib/node/directcontrol.cpp
+++ b/lib/node/directcontrol.cpp
@@ -129,7 +129,7 @@
     request.maxBodyBytes = TicketLimits::MaxBytes;
     m_http.fetch(
         std::move(request),
-        [this, wanted](const HttpClientResult &result, unsigned status, const HttpHeaders &, std::string body) {
+        [this, wanted](const HttpClientResult &result, unsigned status, const HttpHeaders &, const std::string &body) {
             m_fetching = false;
             if (result.code != ResultCode::Ok || status != StatusOk) {
                 m_retryTimer.start(FetchRetryDelay);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -36,12 +36,11 @@
 
 Node::Node(Loop &loop, const Clock &clock, NodeSettings settings)
     : m_loop(loop)
-    , m_clock(clock)
     , m_settings(std::move(settings))
     , m_incarnation(startTimeAsIncarnation(clock))
     , m_random(std::random_device {}())
     , m_control(loop, clock, m_settings)
-    , m_target(loop, clock, m_control, m_settings.self.host, m_settings.targetAddress)
+    , m_target(loop, m_control, m_settings.self.host, m_settings.targetAddress)
     , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
     , m_callServer(m_target, clock, m_settings.calls.maxRequestBytes)
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -145,8 +145,8 @@
 class RunningHandle final : public AttemptHandle
 {
 public:
-    explicit RunningHandle(std::shared_ptr<RunningAttempt> attempt)
-        : m_attempt(std::move(attempt))
+    explicit RunningHandle(const std::shared_ptr<RunningAttempt> &attempt)
+        : m_attempt(attempt)
     {
     }
 
@@ -170,9 +170,8 @@
 
 } // namespace
 
-TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, HostId self, std::string targetAddress)
+TargetSide::TargetSide(Loop &loop, const ConfigView &config, HostId self, std::string targetAddress)
     : m_loop(loop)
-    , m_clock(clock)
     , m_config(config)
     , m_self(std::move(self))
     , m_targetAddress(std::move(targetAddress))
--- a/lib/settings/jsonreader.cpp
+++ b/lib/settings/jsonreader.cpp
@@ -53,7 +53,7 @@
     if (!value.is_string()) {
         fail(ResultCode::SettingsWrongType, key, "a string");
     }
-    const auto text = value.get<std::string>();
+    auto text = value.get<std::string>();
     if (text.empty() || text.size() > MaxLength) {
         fail(ResultCode::SettingsOutOfRange, key, "1 to " + std::to_string(MaxLength) + " characters");
     }
@@ -120,7 +120,7 @@
 
 std::string JsonReader::ipAddress(const char *key)
 {
-    const std::string text = string(key);
+    std::string text = string(key);
     in_addr parsed {};
     if (inet_pton(AF_INET, text.c_str(), &parsed) != 1) {
         fail(ResultCode::SettingsOutOfRange, key, "an IPv4 address in dotted form");
