--- /dev/null
+++ b/unittests/config/logtest.cpp
@@ -0,0 +1,372 @@
+// The ticket log: forwards only, only what an accepted head commits, and the same state on every node.
+#include "jasminemast/config/log.h"
+#include "ticketchain.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
+
+using namespace jasminemast;
+
+namespace
+{
+
+const WallTimePoint Now {std::chrono::hours(1)};
+
+/// Answers what the log wants from \p chain until nothing more comes of it.
+void feed(TicketLog &log, const TicketChain &chain)
+{
+    bool progress = true;
+    while (progress) {
+        progress = false;
+        for (const WantedTicket &wanted : log.missing(8)) {
+            const std::uint64_t number = wanted.number.value();
+            if (number > chain.size()) {
+                continue;
+            }
+            const TicketOffer offer = log.offerTicket(wanted.number, chain.bytes(number), Now).offer;
+            progress = progress || offer == TicketOffer::Applied || offer == TicketOffer::Stored;
+        }
+    }
+}
+
+TicketLog logAt(const TicketChain &chain, std::uint64_t number)
+{
+    TicketLog log;
+    if (number > 0) {
+        log.offerHead(chain.head(number));
+        feed(log, chain);
+    }
+    EXPECT_EQ(log.applied(), chain.head(number));
+    return log;
+}
+
+} // namespace
+
+TEST(LogTest, followsAHeadBackwardsAndFoldsForwards)
+{
+    const TicketChain chain(5);
+    TicketLog log;
+    EXPECT_EQ(log.offerHead(chain.head(5)), HeadVerdict::Newer);
+    EXPECT_EQ(log.missing(8), (std::vector<WantedTicket> {{TicketNumber(5), chain.head(5).digest}}));
+    for (std::uint64_t number = 5; number > 1; --number) {
+        EXPECT_EQ(log.offerTicket(TicketNumber(number), chain.bytes(number), Now).offer, TicketOffer::Stored);
+        EXPECT_EQ(log.state()->number, TicketNumber(0));
+    }
+    const OfferResult last = log.offerTicket(TicketNumber(1), chain.bytes(1), Now);
+    EXPECT_EQ(last.offer, TicketOffer::Applied);
+    EXPECT_EQ(last.entries.size(), 5U);
+    EXPECT_EQ(log.state()->stateDigest, chain.fold(5)->stateDigest);
+    EXPECT_TRUE(log.isCurrent());
+    EXPECT_EQ(log.logbook().entries().size(), 5U);
+    EXPECT_EQ(log.logbook().find(TicketNumber(3))->inForceAt, Now);
+    EXPECT_EQ(*log.recentBytes(TicketNumber(4)), chain.bytes(4));
+}
+
+TEST(LogTest, headVerdicts)
+{
+    const TicketChain chain(6);
+    const Digest other = sha256("other");
+    struct Case
+    {
+        const char *name;
+        Head head;
+        HeadVerdict verdict;
+    };
+    const std::vector<Case> cases = {
+        {"next", chain.head(5), HeadVerdict::Newer},
+        {"far ahead", {TicketNumber(1'000'000), other}, HeadVerdict::Newer},
+        {"applied", chain.head(4), HeadVerdict::Known},
+        {"below", chain.head(3), HeadVerdict::Older},
+        {"none accepted", {}, HeadVerdict::Older},
+        {"applied number, other digest", {TicketNumber(4), other}, HeadVerdict::Conflict},
+        {"past number, other digest", {TicketNumber(2), other}, HeadVerdict::Conflict},
+    };
+    for (const Case &row : cases) {
+        TicketLog log = logAt(chain, 4);
+        EXPECT_EQ(log.offerHead(row.head), row.verdict) << row.name;
+        EXPECT_EQ(log.applied(), chain.head(4)) << row.name;
+        EXPECT_EQ(log.counters().conflicts, row.verdict == HeadVerdict::Conflict ? 1U : 0U) << row.name;
+        EXPECT_EQ(log.counters().olderHeads, row.verdict == HeadVerdict::Older ? 1U : 0U) << row.name;
+    }
+}
+
+TEST(LogTest, onlyCommittedBytesAreTaken)
+{
+    TicketChain chain(3);
+    TicketLog log = logAt(chain, 1);
+    log.offerHead(chain.head(3));
+    EXPECT_EQ(log.offerTicket(TicketNumber(3), chain.bytes(2), Now).offer, TicketOffer::WrongDigest);
+    EXPECT_EQ(log.offerTicket(TicketNumber(2), chain.bytes(2), Now).offer, TicketOffer::NotWanted);
+    EXPECT_EQ(log.offerTicket(TicketNumber(1), chain.bytes(1), Now).offer, TicketOffer::NotWanted);
+    const Head filedOnly = chain.add(slotsSection(4));
+    EXPECT_EQ(log.offerTicket(filedOnly.number, chain.bytes(4), Now).offer, TicketOffer::NotWanted);
+    EXPECT_EQ(log.applied(), chain.head(1));
+    EXPECT_EQ(log.counters().wrongDigests, 1U);
+    EXPECT_EQ(log.counters().notWanted, 3U);
+}
+
+TEST(LogTest, acceptedHeadWithoutTicketHoldsNothingBack)
+{
+    const TicketChain chain(6);
+    TicketLog log = logAt(chain, 4);
+    EXPECT_EQ(log.offerHead({TicketNumber(900), sha256("never filed")}), HeadVerdict::Newer);
+    EXPECT_EQ(log.offerHead(chain.head(6)), HeadVerdict::Older);
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(6));
+    EXPECT_FALSE(log.isCurrent());
+}
+
+TEST(LogTest, badTicketInTheMiddleIsRefusedAndLaterOnesGoOn)
+{
+    TicketChain chain(2);
+    chain.add(R"(,"routes":{"r":{"pathPrefix":"/","service":"missing"}})");
+    chain.add(slotsSection(4));
+    TicketLog log;
+    log.offerHead(chain.head());
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(4));
+    EXPECT_EQ(log.logbook().find(TicketNumber(3))->code, ResultCode::TicketRouteWithoutService);
+    EXPECT_EQ(log.logbook().find(TicketNumber(3))->stateDigest, log.logbook().find(TicketNumber(2))->stateDigest);
+    EXPECT_EQ(log.counters().refused, 1U);
+}
+
+TEST(LogTest, unreadableTicketUsesUpItsNumberOnceTheOneBelowIsKnown)
+{
+    TicketChain chain(2);
+    chain.addBytes("not json");
+    chain.add(slotsSection(4));
+    TicketLog log = logAt(chain, 1);
+    log.offerHead(chain.head(4));
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(1)) << "nothing commits ticket 2";
+    EXPECT_TRUE(log.needsSnapshot());
+
+    EXPECT_EQ(log.offerHead(chain.head(2)), HeadVerdict::Older);
+    EXPECT_FALSE(log.needsSnapshot());
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(4));
+    EXPECT_EQ(log.logbook().find(TicketNumber(3))->code, ResultCode::TicketNotJson);
+}
+
+TEST(LogTest, refusedTicketStillCommitsTheOneBelow)
+{
+    TicketChain chain(2);
+    chain.add(R"(,"unknown":1)");
+    chain.addBytes(R"({"previous":")" + chain.head().digest.hex() + R"(",cut)");
+    TicketLog log;
+    log.offerHead(chain.head());
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(4));
+    EXPECT_EQ(log.counters().refused, 2U);
+}
+
+TEST(LogTest, forkBelowTheAppliedTicketIsRefusedAndCounted)
+{
+    TicketChain ours(3);
+    TicketChain theirs(2);
+    theirs.add(slotsSection(77));
+    theirs.add(slotsSection(78));
+    TicketLog log = logAt(ours, 3);
+    EXPECT_EQ(log.offerHead(theirs.head(4)), HeadVerdict::Newer);
+    feed(log, theirs);
+    EXPECT_EQ(log.logbook().find(TicketNumber(4))->code, ResultCode::TicketWrongPrevious);
+    EXPECT_EQ(log.state()->stateDigest, ours.fold(3)->stateDigest);
+    EXPECT_EQ(log.counters().conflicts, 1U);
+}
+
+TEST(LogTest, acceptedHeadOutranksWhatALaterTicketClaims)
+{
+    TicketChain ours(3);
+    TicketChain theirs(2);
+    theirs.add(slotsSection(77));
+    theirs.add(slotsSection(78));
+    for (const bool acceptedFirst : {true, false}) {
+        TicketLog log = logAt(ours, 1);
+        if (acceptedFirst) {
+            log.offerHead(ours.head(3));
+        }
+        log.offerHead(theirs.head(4));
+        log.offerTicket(TicketNumber(4), theirs.bytes(4), Now);
+        log.offerTicket(TicketNumber(3), theirs.bytes(3), Now);
+        if (!acceptedFirst) {
+            EXPECT_EQ(log.offerHead(ours.head(3)), HeadVerdict::Conflict);
+        }
+        feed(log, ours);
+        EXPECT_EQ(log.applied(), theirs.head(4)) << acceptedFirst;
+        EXPECT_EQ(log.logbook().find(TicketNumber(3))->head, ours.head(3)) << acceptedFirst;
+        EXPECT_EQ(log.state()->stateDigest, ours.fold(3)->stateDigest) << acceptedFirst;
+    }
+}
+
+TEST(LogTest, acceptedHeadDropsTheChainThatOnlyTheForkClaimed)
+{
+    const TicketChain ours(3);
+    TicketChain theirs(1);
+    for (const std::uint64_t slots : {72U, 73U, 74U}) {
+        theirs.add(slotsSection(slots));
+    }
+    TicketLog log = logAt(ours, 1);
+    log.offerHead(theirs.head(4));
+    log.offerTicket(TicketNumber(4), theirs.bytes(4), Now);
+    log.offerTicket(TicketNumber(3), theirs.bytes(3), Now);
+    EXPECT_EQ(log.offerHead(ours.head(3)), HeadVerdict::Conflict);
+    feed(log, ours);
+    EXPECT_EQ(log.applied(), theirs.head(4));
+    EXPECT_EQ(log.state()->stateDigest, ours.fold(3)->stateDigest);
+    EXPECT_EQ(log.pendingBytes(), 0U);
+}
+
+TEST(LogTest, secondAcceptedDigestForANumberIsAConflict)
+{
+    const TicketChain chain(4);
+    TicketLog log = logAt(chain, 2);
+    log.offerHead(chain.head(4));
+    EXPECT_EQ(log.offerHead({TicketNumber(4), sha256("raced")}), HeadVerdict::Conflict);
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(4));
+    EXPECT_EQ(log.counters().conflicts, 1U);
+}
+
+TEST(LogTest, memoryIsBounded)
+{
+    const TicketChain chain(60);
+    TicketLogSettings settings;
+    settings.maxRecentTickets = 5;
+    settings.maxPendingBytes = 400;
+    settings.maxLogEntries = 10;
+    TicketLog log(settings);
+    log.offerHead(chain.head(60));
+    for (std::uint64_t number = 60; number > 30; --number) {
+        log.offerTicket(TicketNumber(number), chain.bytes(number), Now);
+        EXPECT_LE(log.pendingBytes(), settings.maxPendingBytes);
+    }
+    feed(log, chain);
+    EXPECT_EQ(log.pendingBytes(), 0U);
+    EXPECT_EQ(log.applied(), chain.head(60)) << "bytes that were given up are fetched again";
+    EXPECT_EQ(log.recentTickets().size(), 5U);
+    EXPECT_EQ(log.recentBytes(TicketNumber(55)), nullptr);
+    EXPECT_EQ(log.logbook().entries().size(), 10U);
+    EXPECT_EQ(log.logbook().find(TicketNumber(50)), nullptr);
+}
+
+TEST(LogTest, targetBeyondReachNeedsASnapshot)
+{
+    const TicketChain chain(40);
+    TicketLogSettings settings;
+    settings.maxReach = 10;
+    TicketLog log(settings);
+    log.offerHead(chain.head(20));
+    EXPECT_EQ(log.offerHead(chain.head(40)), HeadVerdict::Newer);
+    EXPECT_TRUE(log.needsSnapshot());
+    EXPECT_TRUE(log.missing(8).empty());
+
+    EXPECT_EQ(log.offerSnapshot(chain.fold(35), {}, Now), SnapshotOffer::Adopted);
+    EXPECT_FALSE(log.needsSnapshot());
+    feed(log, chain);
+    EXPECT_EQ(log.applied(), chain.head(40));
+}
+
+TEST(LogTest, snapshotOnlyMovesForwardsAndNeverAgainstAnAcceptedDigest)
+{
+    const TicketChain chain(6);
+    TicketChain fork(5);
+    fork.add(slotsSection(99));
+    TicketLog log = logAt(chain, 4);
+    EXPECT_EQ(log.offerSnapshot(chain.fold(3), {}, Now), SnapshotOffer::Older);
+    EXPECT_EQ(log.offerSnapshot(chain.fold(4), {}, Now), SnapshotOffer::Older);
+    log.offerHead(chain.head(6));
+    EXPECT_EQ(log.offerSnapshot(fork.fold(6), {}, Now), SnapshotOffer::Conflict);
+    EXPECT_EQ(log.applied(), chain.head(4));
+
+    TicketLog donor = logAt(chain, 6);
+    EXPECT_EQ(log.offerSnapshot(donor.state(), donor.logbook().tail(10), Now), SnapshotOffer::Adopted);
+    EXPECT_TRUE(log.isCurrent());
+    EXPECT_EQ(log.logbook().entries().size(), 6U);
+    EXPECT_EQ(log.logbook().find(TicketNumber(5))->origin, LogEntry::Origin::History);
+    EXPECT_EQ(log.logbook().find(TicketNumber(2))->inForceAt, Now);
+}
+
+TEST(LogTest, divergedPeerIsCounted)
+{
+    const TicketChain chain(3);
+    TicketLog log = logAt(chain, 3);
+    EXPECT_TRUE(log.comparePeer(chain.head(3), chain.fold(3)->stateDigest));
+    EXPECT_TRUE(log.comparePeer(chain.head(2), chain.fold(2)->stateDigest));
+    EXPECT_TRUE(log.comparePeer({TicketNumber(9), sha256("ahead")}, Digest {}));
+    EXPECT_FALSE(log.comparePeer(chain.head(3), chain.fold(2)->stateDigest));
+    EXPECT_FALSE(log.comparePeer(chain.head(2), chain.fold(3)->stateDigest));
+    EXPECT_EQ(log.counters().conflicts, 2U);
+}
+
+namespace
+{
+
+/// Offers \p log one arbitrary event of the chain: a head, right or swapped bytes, or a snapshot.
+void offerAnything(TicketLog &log, const TicketChain &chain)
+{
+    const auto number = *rc::gen::inRange<std::uint64_t>(0, chain.size() + 1);
+    const auto other = *rc::gen::inRange<std::uint64_t>(1, chain.size() + 1);
+    switch (*rc::gen::inRange(0, 8)) {
+    case 0:
+        log.offerHead(chain.head(number));
+        break;
+    case 1:
+        log.offerHead({TicketNumber(number), sha256("conflict" + std::to_string(other % 2))});
+        break;
+    case 2:
+        log.offerSnapshot(chain.fold(number), {}, Now);
+        break;
+    case 3:
+        log.offerTicket(TicketNumber(number), chain.bytes(other), Now);
+        break;
+    default:
+        for (const WantedTicket &wanted : log.missing(2)) {
+            log.offerTicket(wanted.number, chain.bytes(std::min(wanted.number.value(), chain.size())), Now);
+        }
+    }
+}
+
+} // namespace
+
+RC_GTEST_PROP(LogProperty, anyOrderOnlyMovesForwardsAndEveryStateIsOneOfTheFold, ())
+{
+    TicketChain chain(4);
+    chain.addBytes("\"unreadable\"");
+    chain.add(R"(,"services":{"s":{"endpoints":["missing"]}})");
+    chain.add(slotsSection(7));
+    TicketLogSettings settings;
+    settings.maxPendingBytes = 300;
+    TicketLog log(settings);
+    for (int step = 0; step < 40; ++step) {
+        const TicketNumber before = log.state()->number;
+        offerAnything(log, chain);
+        RC_ASSERT(log.state()->number >= before);
+        RC_ASSERT(log.target().number >= log.state()->number);
+        const Head applied = log.applied();
+        if (applied == chain.head(applied.number.value())) {
+            RC_ASSERT(log.state()->stateDigest == chain.fold(applied.number.value())->stateDigest);
+        }
+    }
+}
+
+RC_GTEST_PROP(LogProperty, allNodesAgreeWhateverTheOrderOfHeads, ())
+{
+    TicketChain chain(3);
+    chain.add(R"(,"bad":{})");
+    chain.add(slotsSection(5));
+    TicketLog log;
+    const auto heads = *rc::gen::container<std::vector<std::uint64_t>>(rc::gen::inRange<std::uint64_t>(0, 6));
+    for (const std::uint64_t number : heads) {
+        log.offerHead(chain.head(number));
+        if (*rc::gen::arbitrary<bool>()) {
+            feed(log, chain);
+        }
+    }
+    log.offerHead(chain.head(5));
+    feed(log, chain);
+    RC_ASSERT(log.applied() == chain.head(5));
+    RC_ASSERT(log.state()->stateDigest == chain.fold(5)->stateDigest);
+    RC_ASSERT(log.counters().conflicts == 0U);
+}
--- /dev/null
+++ b/unittests/config/ticketchain.h
@@ -0,0 +1,83 @@
+// Makes chains of tickets for tests.
+#pragma once
+
+#include "jasminemast/config/ticket.h"
+
+#include <string>
+#include <vector>
+
+namespace jasminemast
+{
+
+inline std::string ticketText(std::uint64_t number, const Digest &previous, const std::string &sections = {})
+{
+    return R"({"number":)" + std::to_string(number) + R"(,"previous":")" + previous.hex() + "\"" + sections + "}";
+}
+
+/// A section that gives endpoint `e` as many slots as the ticket's number, so that every ticket makes another state.
+inline std::string slotsSection(std::uint64_t slots)
+{
+    return R"(,"endpoints":{"e":{"host":"h1","port":9000,"slots":)" + std::to_string(slots) + "}}";
+}
+
+/// Tickets 1 to size(), each committing the one before.
+class TicketChain
+{
+public:
+    TicketChain() = default;
+    /// \p count good tickets.
+    explicit TicketChain(std::uint64_t count)
+    {
+        for (std::uint64_t number = 1; number <= count; ++number) {
+            add(slotsSection(number));
+        }
+    }
+
+    /// Appends a well-linked ticket with \p sections.
+    Head add(const std::string &sections)
+    {
+        return addBytes(ticketText(size() + 1, lastDigest(), sections));
+    }
+    /// Appends a ticket of any bytes.
+    Head addBytes(std::string bytes)
+    {
+        m_tickets.push_back(std::move(bytes));
+        return head();
+    }
+
+    [[nodiscard]] std::uint64_t size() const
+    {
+        return m_tickets.size();
+    }
+    [[nodiscard]] const std::string &bytes(std::uint64_t number) const
+    {
+        return m_tickets.at(number - 1);
+    }
+    [[nodiscard]] Head head(std::uint64_t number) const
+    {
+        return Head {TicketNumber(number), number == 0 ? Digest {} : sha256(bytes(number))};
+    }
+    [[nodiscard]] Head head() const
+    {
+        return head(size());
+    }
+    /// The state after ticket \p number by a plain forward fold.
+    [[nodiscard]] StatePtr fold(std::uint64_t number) const
+    {
+        StatePtr state = emptyState();
+        for (std::uint64_t i = 1; i <= number; ++i) {
+            state = applyTicket(state, TicketNumber(i), bytes(i)).state;
+        }
+        return state;
+    }
+
+private:
+    [[nodiscard]] Digest lastDigest() const
+    {
+        return head().digest;
+    }
+
+    std::vector<std::string> m_tickets;
+};
+
+} // namespace jasminemast
