--- a/include/jasminemast/config/ticket.h
+++ b/include/jasminemast/config/ticket.h
@@ -4,6 +4,7 @@
 #include "jasminemast/config/state.h"
 #include "jasminemast/support/result.h"
 
+#include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,10 +16,13 @@
 /// Upper bounds that a ticket and the state it makes must keep.
 struct TicketLimits
 {
-    static constexpr std::size_t MaxBytes = 1'000'000;
+    static constexpr std::size_t MaxBytes = 1U << 20U; ///< what the configuration service can hold
     static constexpr std::size_t MaxDepth = 16;
     static constexpr std::size_t MaxObjects = 50'000;
     static constexpr std::size_t MaxNameLength = 128;
+    static constexpr std::size_t MaxPathLength = 1024;
+    static constexpr std::size_t MaxMethodLength = 32;
+    static constexpr std::uint64_t MaxNumber = (1ULL << 53U) - 1; ///< exact in every JSON reader
 };
 
 /// A parsed ticket. An object is its whole new state; an empty optional removes it.
