[member,spread] add membership, messages and the core of configuration distribution

Liveness of the own zone by SWIM-like probing, zone summaries with age, rendezvous order of readers, bounded cereal messages, and the spreading core: watch duty under the fleet's call limit, announcements, pulls, region rule, join and pause guard.

--- /dev/null
+++ b/lib/member/zonereports.cpp
@@ -0,0 +1,59 @@
+// Summarises the versions reported in one zone.
+#include "jasminemast/member/zonereports.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+void ZoneReports::learn(const HostId &host, const AppliedVersion &version, TimePoint now)
+{
+    m_reports.insert_or_assign(host, Report {version, now});
+}
+
+void ZoneReports::retain(const std::set<HostId> &hosts)
+{
+    std::erase_if(m_reports, [&hosts](const auto &entry) { return !hosts.contains(entry.first); });
+}
+
+ZoneSummary ZoneReports::summarise(const ZoneId &zone, const HostId &reporter, const std::vector<HostId> &live,
+                                   const std::vector<HostId> &dead, Milliseconds maxAge, TimePoint now) const
+{
+    ZoneSummary summary;
+    summary.zone = zone;
+    summary.reporter = reporter;
+    summary.liveHosts = static_cast<std::uint32_t>(live.size());
+    summary.dead.assign(dead.begin(), dead.begin() + std::min(dead.size(), ZoneSummary::MaxDead));
+
+    std::map<HostId, AppliedVersion> fresh;
+    for (const auto &host : live) {
+        const auto report = m_reports.find(host);
+        if (report == m_reports.end() || now - report->second.at > maxAge) {
+            continue;
+        }
+        fresh.emplace(host, report->second.version);
+    }
+    summary.reportingHosts = static_cast<std::uint32_t>(fresh.size());
+    if (fresh.empty()) {
+        return summary;
+    }
+    const auto byNumber = [](const auto &a, const auto &b) {
+        return a.second.number < b.second.number;
+    };
+    summary.lowest = std::min_element(fresh.begin(), fresh.end(), byNumber)->second.number;
+    const auto &newest = std::max_element(fresh.begin(), fresh.end(), byNumber)->second;
+    summary.highest = newest.number;
+    summary.stateDigest = newest.stateDigest;
+    for (const auto &[host, version] : fresh) {
+        if (version.number == newest.number) {
+            summary.divergentHosts += version.stateDigest == newest.stateDigest ? 0 : 1;
+            continue;
+        }
+        if (summary.laggards.size() < ZoneSummary::MaxLaggards) {
+            summary.laggards.push_back(Laggard {host, version.number});
+        }
+    }
+    return summary;
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/spread/topology.cpp
@@ -0,0 +1,166 @@
+// Derives usable hosts and duties from what is known.
+#include "jasminemast/spread/topology.h"
+
+#include "jasminemast/member/rendezvous.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+Topology::Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const FleetView &fleet)
+    : m_self(std::move(self))
+    , m_settings(settings)
+    , m_membership(membership)
+    , m_fleet(fleet)
+{
+}
+
+void Topology::setHostList(HostList list)
+{
+    m_list = std::move(list);
+    m_zoneRegions.clear();
+    for (const auto &[host, entry] : m_list.entries()) {
+        m_zoneRegions.emplace(entry.zone, entry.region);
+    }
+}
+
+void Topology::setSelfLeaving()
+{
+    m_selfLeaving = true;
+}
+
+void Topology::noteLeaving(const HostId &host, bool leaving)
+{
+    if (leaving) {
+        m_leaving.insert(host);
+    } else {
+        m_leaving.erase(host);
+    }
+}
+
+bool Topology::selfLeaving() const
+{
+    const auto *entry = m_list.find(m_self.host);
+    return m_selfLeaving || (entry != nullptr && entry->leaving);
+}
+
+bool Topology::sameZone(const HostId &host) const
+{
+    const auto *entry = m_list.find(host);
+    return entry != nullptr && entry->zone == m_self.zone;
+}
+
+bool Topology::sameRegion(const HostId &host) const
+{
+    const auto *entry = m_list.find(host);
+    return entry != nullptr && entry->region == m_self.region;
+}
+
+bool Topology::inStoreRegion() const
+{
+    return m_self.region == m_settings.storeRegion;
+}
+
+HostCondition Topology::condition(const HostId &host, TimePoint now) const
+{
+    if (host == m_self.host) {
+        return selfLeaving() ? HostCondition::Leaving : HostCondition::Live;
+    }
+    const auto *entry = m_list.find(host);
+    if (entry == nullptr) {
+        return HostCondition::Unknown;
+    }
+    if (entry->zone == m_self.zone) {
+        if (m_membership.liveness(host) == Liveness::Dead) {
+            return HostCondition::Dead;
+        }
+    } else {
+        const auto summary = m_fleet.fresh(entry->zone, now);
+        if (!summary) {
+            return HostCondition::Unknown;
+        }
+        if (std::find(summary->dead.begin(), summary->dead.end(), host) != summary->dead.end()) {
+            return HostCondition::Dead;
+        }
+    }
+    return entry->leaving || m_leaving.contains(host) ? HostCondition::Leaving : HostCondition::Live;
+}
+
+std::vector<HostId> Topology::usableInZone(const ZoneId &zone, TimePoint now) const
+{
+    std::set<HostId> dead;
+    if (zone == m_self.zone) {
+        const auto deadPeers = m_membership.deadPeers();
+        dead.insert(deadPeers.begin(), deadPeers.end());
+    } else if (const auto summary = m_fleet.fresh(zone, now)) {
+        dead.insert(summary->dead.begin(), summary->dead.end());
+    }
+    std::vector<HostId> usable;
+    for (const auto &[host, entry] : m_list.entries()) {
+        if (entry.zone != zone || entry.leaving) {
+            continue;
+        }
+        if (dead.contains(host) || m_leaving.contains(host)) {
+            continue;
+        }
+        if (host == m_self.host && m_selfLeaving) {
+            continue;
+        }
+        usable.push_back(host);
+    }
+    return usable;
+}
+
+std::vector<HostId> Topology::usableInRegion(const RegionId &region, TimePoint now) const
+{
+    std::vector<HostId> usable;
+    for (const auto &[zone, zoneRegion] : m_zoneRegions) {
+        if (zoneRegion != region) {
+            continue;
+        }
+        const auto hosts = usableInZone(zone, now);
+        usable.insert(usable.end(), hosts.begin(), hosts.end());
+    }
+    return usable;
+}
+
+std::vector<HostId> Topology::readerOrder(const ZoneId &zone, TimePoint now) const
+{
+    return rendezvousOrder("reader/" + zone.value(), usableInZone(zone, now));
+}
+
+std::vector<HostId> Topology::fetchOrder(const RegionId &region, TicketNumber number, TimePoint now) const
+{
+    return rendezvousOrder("ticket/" + std::to_string(number.value()), usableInRegion(region, now));
+}
+
+unsigned Topology::readersPerZone(const RegionId &region) const
+{
+    return region == m_settings.storeRegion ? m_settings.readersPerZone : m_settings.awayReadersPerZone;
+}
+
+std::vector<RegionId> Topology::otherRegions() const
+{
+    std::set<RegionId> regions;
+    for (const auto &[zone, region] : m_zoneRegions) {
+        if (region != m_self.region) {
+            regions.insert(region);
+        }
+    }
+    return {regions.begin(), regions.end()};
+}
+
+std::vector<ZoneId> Topology::otherZones(bool ownRegionOnly) const
+{
+    std::vector<ZoneId> zones;
+    for (const auto &[zone, region] : m_zoneRegions) {
+        if (zone == m_self.zone || (ownRegionOnly && region != m_self.region)) {
+            continue;
+        }
+        zones.push_back(zone);
+    }
+    return zones;
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/spread/messagestest.cpp
@@ -0,0 +1,146 @@
+// Messages: what is encoded comes back, and hostile bytes are refused by number.
+#include "jasminemast/spread/messages.h"
+
+#include "jasminemast/spread/settings.h"
+#include "jasminemast/support/result.h"
+
+#include <functional>
+#include <gtest/gtest.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminemast;
+
+namespace
+{
+
+Sender someSender()
+{
+    Sender sender;
+    sender.host = HostId("h1");
+    sender.incarnation = Incarnation(1'700'000'000'123);
+    sender.refutation = 2;
+    sender.reader = true;
+    sender.applied = AppliedVersion {TicketNumber(7), sha256("7"), sha256("state 7")};
+    sender.accepted = Head {TicketNumber(8), sha256("8")};
+    return sender;
+}
+
+ControlMessage someMessage(ControlBody body)
+{
+    ControlMessage message;
+    message.sender = someSender();
+    message.rumours = {{HostId("h2"), Incarnation(5), 1, Liveness::Dead}};
+    ZoneSummary summary;
+    summary.zone = ZoneId("z1");
+    summary.reporter = HostId("h3");
+    summary.liveHosts = 40;
+    summary.laggards = {{HostId("h9"), TicketNumber(6)}};
+    summary.dead = {HostId("h4"), HostId("h5")};
+    summary.age = Milliseconds(1234);
+    message.summaries = {summary};
+    message.body = std::move(body);
+    return message;
+}
+
+std::vector<ControlBody> everyBody()
+{
+    return {Ping {3, HostId("h7")}, PingRequest {4, HostId("h8")}, Ack {5, HostId()}, Announce {}, Report {}};
+}
+
+PullAnswer someAnswer()
+{
+    PullAnswer answer;
+    answer.id = 9;
+    answer.sender = someSender();
+    answer.tickets = {{TicketNumber(7), std::string(40'000, 'x')}, {TicketNumber(8), "{}"}};
+    return answer;
+}
+
+void expectRefused(ResultCode code, const std::function<void()> &decode)
+{
+    try {
+        decode();
+        ADD_FAILURE() << "taken";
+    } catch (const ResultError &error) {
+        EXPECT_EQ(error.code(), code) << error.what();
+    }
+}
+
+/// Decodes and swallows refusals with \p code; anything else fails the test.
+bool refusedOrTaken(ResultCode code, const std::function<void()> &decode)
+{
+    try {
+        decode();
+    } catch (const ResultError &error) {
+        return error.code() == code || error.code() == ResultCode::FrameTooLarge;
+    }
+    return true;
+}
+
+} // namespace
+
+TEST(Messages, everyKindComesBack)
+{
+    for (const auto &body : everyBody()) {
+        const auto message = someMessage(body);
+        EXPECT_EQ(decodeControlMessage(encodeControlMessage(message)), message);
+    }
+    const PullRequest request {3, TicketNumber(4), TicketNumber(5), someSender()};
+    EXPECT_EQ(decodePullRequest(encodePullRequest(request)), request);
+    EXPECT_EQ(decodePullAnswer(encodePullAnswer(someAnswer())), someAnswer());
+}
+
+TEST(Messages, everyTruncationIsRefused)
+{
+    const auto bytes = encodeControlMessage(someMessage(Ping {1, HostId("h2")}));
+    for (std::size_t length = 0; length < bytes.size(); ++length) {
+        expectRefused(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes.substr(0, length)); });
+    }
+    expectRefused(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes + "x"); });
+}
+
+TEST(Messages, anotherProtocolVersionIsRefused)
+{
+    auto bytes = encodeControlMessage(someMessage(Announce {}));
+    bytes[1] = 99;
+    expectRefused(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes); });
+}
+
+TEST(Messages, namesOverTheBoundAreRefused)
+{
+    auto message = someMessage(Announce {});
+    message.sender.host = HostId(std::string(65, 'h'));
+    EXPECT_THROW(encodeControlMessage(message), std::length_error);
+}
+
+RC_GTEST_PROP(Messages, randomBytesAreRefusedByNumber, (const std::string &bytes))
+{
+    RC_ASSERT(refusedOrTaken(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes); }));
+    RC_ASSERT(refusedOrTaken(ResultCode::FrameMalformed, [&] { decodePullRequest(bytes); }));
+    RC_ASSERT(refusedOrTaken(ResultCode::FrameMalformed, [&] { decodePullAnswer(bytes); }));
+}
+
+RC_GTEST_PROP(Messages, damagedMessagesAreRefusedOrTaken, ())
+{
+    const auto bodies = everyBody();
+    auto bytes = encodeControlMessage(someMessage(*rc::gen::elementOf(bodies)));
+    const auto flips = *rc::gen::container<std::vector<std::pair<std::size_t, std::uint8_t>>>(
+        rc::gen::pair(rc::gen::inRange<std::size_t>(0, bytes.size()), rc::gen::arbitrary<std::uint8_t>()));
+    for (const auto &[position, value] : flips) {
+        bytes[position] = static_cast<char>(value);
+    }
+    RC_ASSERT(refusedOrTaken(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes); }));
+}
+
+TEST(SpreadSettings, readsKnownKeysAndRefusesTheRest)
+{
+    const auto settings = parseSpreadSettings(R"({"storeRegion":"lombardy","readersPerZone":3})"_json);
+    EXPECT_EQ(settings.storeRegion, RegionId("lombardy"));
+    EXPECT_EQ(settings.readersPerZone, 3U);
+    EXPECT_EQ(settings.awayReadersPerZone, SpreadSettings().awayReadersPerZone);
+    for (const auto *text : {"[]", R"({"readerPerZone":3})", R"({"readersPerZone":0})", R"({"readersPerZone":"3"})",
+                             R"({"watchWaitMs":0})", R"({"storeRegion":1})"}) {
+        expectRefused(ResultCode::ControlSettingsInvalid, [&] { parseSpreadSettings(nlohmann::json::parse(text)); });
+    }
+}
