--- a/include/jasminemast/member/zonereports.h
+++ b/include/jasminemast/member/zonereports.h
@@ -1,7 +1,7 @@
 // Which ticket each node of the own zone runs, as reported to a reader, and the summary made of it.
 #pragma once
 
-#include "jasminemast/member/fleetview.h"
+#include "jasminemast/member/zonetable.h"
 
 #include <set>
 
--- a/include/jasminemast/member/fleetview.h
+++ b/include/jasminemast/member/zonetable.h
@@ -44,10 +44,10 @@
 };
 
 /// The newest summary of every zone.
-class FleetView
+class ZoneTable
 {
 public:
-    explicit FleetView(Milliseconds staleAfter)
+    explicit ZoneTable(Milliseconds staleAfter)
         : m_staleAfter(staleAfter)
     {
     }
--- a/include/jasminemast/spread/pullduty.h
+++ b/include/jasminemast/spread/pullduty.h
@@ -72,7 +72,8 @@
     SpreadActions startPull(const HostId &peer, const Sender &sender, TimePoint now);
     SpreadActions fetchForRegion(const Sender &sender, TimePoint now);
     SpreadActions fetchFromService(const Sender &sender, TimePoint now);
-    SpreadActions fetchOne(TicketNumber number, bool share, const Sender &sender, TimePoint now);
+    SpreadActions fetchOne(TicketNumber number, const Sender &sender, TimePoint now);
+    [[nodiscard]] std::optional<HostId> chooseHelper(TicketNumber number, unsigned attempts, TimePoint now) const;
     void endPull(TimePoint now, Milliseconds avoid);
     void retryFetchLater(Fetch &fetch, TimePoint now);
 
--- a/include/jasminemast/spread/spreadcore.h
+++ b/include/jasminemast/spread/spreadcore.h
@@ -106,7 +106,7 @@
     Random &m_random;
     SpreadCounters m_counters;
     Membership m_membership;
-    FleetView m_fleet;
+    ZoneTable m_zoneTable;
     ZoneReports m_reports;
     Topology m_topology;
     ServiceBudget m_budget;
--- a/include/jasminemast/spread/ticketstore.h
+++ b/include/jasminemast/spread/ticketstore.h
@@ -1,7 +1,8 @@
-// What spreading needs of the ticket log.
+// What spreading needs of the ticket log, in the form in which peers exchange it.
 #pragma once
 
-#include "jasminemast/config/ticket.h"
+#include "jasminemast/config/log.h"
+#include "jasminemast/support/clock.h"
 
 #include <optional>
 #include <string>
@@ -11,41 +12,37 @@
 namespace jasminemast
 {
 
-enum class HeadOffer {
-    Advanced, ///< a higher head than known before
-    Known,
-    Older, ///< dropped
-    Conflict, ///< the same number with another digest: what was known is kept
-};
-
-enum class TicketOffer {
-    Kept, ///< kept, and applied as far as the chain reaches
-    Unneeded,
-    Mismatch, ///< not the bytes that the chain commits to: no verdict, ask elsewhere
-};
-
-/// Holds the accepted chain. The applied number only grows.
+/// Gives the spreading core access to the ticket log of the process.
 class TicketStore
 {
 public:
-    virtual ~TicketStore() = default;
+    /// \p log and \p clock must outlive the store.
+    TicketStore(TicketLog &log, const Clock &clock);
 
     /// The state after the last applied ticket.
-    [[nodiscard]] virtual StatePtr state() const = 0;
+    [[nodiscard]] StatePtr state() const;
     /// The highest accepted head known; not below state().
-    [[nodiscard]] virtual Head head() const = 0;
-    /// Takes a head that the service or a peer states. A head between state() and head() vouches for the chain up to
-    /// it and returns Known.
-    virtual HeadOffer offerHead(const Head &head) = 0;
-    /// Numbers between state() and head() whose bytes are absent, ascending, at most \p limit.
-    [[nodiscard]] virtual std::vector<TicketNumber> missing(std::size_t limit) const = 0;
-    virtual TicketOffer offerTicket(TicketNumber number, std::string bytes) = 0;
-    /// The bytes of a ticket that is kept, applied or not.
-    [[nodiscard]] virtual std::optional<std::string> ticket(TicketNumber number) const = 0;
-    /// state() in a form that offerSnapshot() of another store takes.
-    [[nodiscard]] virtual std::string snapshot() const = 0;
+    [[nodiscard]] Head head() const;
+    [[nodiscard]] HeadVerdict offerHead(const Head &head);
+    /// Numbers whose bytes are to be fetched next, at most \p limit.
+    [[nodiscard]] std::vector<TicketNumber> missing(std::size_t limit) const;
+    [[nodiscard]] bool needsSnapshot() const;
+    TicketOffer offerTicket(TicketNumber number, std::string bytes);
+    /// False when a peer reached another state from the same ticket.
+    bool comparePeer(const Head &head, const Digest &stateDigest);
+    /// The bytes of an applied ticket that is still kept.
+    [[nodiscard]] std::optional<std::string> ticket(TicketNumber number) const;
+    /// The state and the verdicts that led to it, in a form that offerSnapshot() of another store takes.
+    [[nodiscard]] std::string snapshot() const;
     /// Applies a snapshot that is newer than state(); false when it is not, or malformed.
-    virtual bool offerSnapshot(std::string_view bytes) = 0;
+    bool offerSnapshot(std::string_view bytes);
+    /// Verdicts that were reached since the last call.
+    std::vector<LogEntry> takeEntries();
+
+private:
+    TicketLog &m_log;
+    const Clock &m_clock;
+    std::vector<LogEntry> m_entries;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/spread/topology.h
+++ b/include/jasminemast/spread/topology.h
@@ -1,9 +1,9 @@
 // Which hosts this node takes for usable, in its zone and elsewhere, and who holds which duty among them.
 #pragma once
 
-#include "jasminemast/member/fleetview.h"
 #include "jasminemast/member/hostlist.h"
 #include "jasminemast/member/membership.h"
+#include "jasminemast/member/zonetable.h"
 #include "jasminemast/spread/settings.h"
 
 #include <set>
@@ -32,7 +32,7 @@
 class Topology
 {
 public:
-    Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const FleetView &fleet);
+    Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const ZoneTable &zoneTable);
 
     void setHostList(HostList list);
     void setSelfLeaving();
@@ -73,7 +73,7 @@
     SelfInfo m_self;
     const SpreadSettings &m_settings;
     const Membership &m_membership;
-    const FleetView &m_fleet;
+    const ZoneTable &m_zoneTable;
     HostList m_list;
     std::map<ZoneId, RegionId> m_zoneRegions;
     std::set<HostId> m_leaving; ///< hosts whose process said that it drains
--- a/lib/member/fleetview.cpp
+++ b/lib/member/zonetable.cpp
@@ -1,10 +1,10 @@
 // Ages and selects zone summaries.
-#include "jasminemast/member/fleetview.h"
+#include "jasminemast/member/zonetable.h"
 
 namespace jasminemast
 {
 
-void FleetView::learn(const ZoneSummary &summary, TimePoint now)
+void ZoneTable::learn(const ZoneSummary &summary, TimePoint now)
 {
     const auto madeAt = now - summary.age;
     const auto found = m_zones.find(summary.zone);
@@ -14,7 +14,7 @@
     m_zones.insert_or_assign(summary.zone, Known {summary, madeAt});
 }
 
-std::optional<ZoneSummary> FleetView::last(const ZoneId &zone, TimePoint now) const
+std::optional<ZoneSummary> ZoneTable::last(const ZoneId &zone, TimePoint now) const
 {
     const auto found = m_zones.find(zone);
     if (found == m_zones.end()) {
@@ -25,7 +25,7 @@
     return summary;
 }
 
-std::optional<ZoneSummary> FleetView::fresh(const ZoneId &zone, TimePoint now) const
+std::optional<ZoneSummary> ZoneTable::fresh(const ZoneId &zone, TimePoint now) const
 {
     auto summary = last(zone, now);
     if (summary && summary->age > m_staleAfter) {
@@ -34,7 +34,7 @@
     return summary;
 }
 
-std::optional<ZoneSummary> FleetView::takeNext(TimePoint now)
+std::optional<ZoneSummary> ZoneTable::takeNext(TimePoint now)
 {
     for (std::size_t tried = 0; tried < m_zones.size(); ++tried) {
         auto next = m_zones.upper_bound(m_lastTaken);
--- a/lib/spread/pullduty.cpp
+++ b/lib/spread/pullduty.cpp
@@ -19,7 +19,6 @@
 constexpr Milliseconds BusyBase {20};
 constexpr Milliseconds BusyCap {300};
 constexpr std::uint64_t CheckpointGap = 64; ///< missing tickets from which a checkpoint is worth its bytes
-constexpr std::size_t ShareFrom = 3; ///< missing tickets from which peers share the calls to the service
 constexpr std::size_t FetchWindow = 64; ///< tickets fetched at once
 
 } // namespace
@@ -191,36 +190,44 @@
     SpreadActions actions;
     const auto missing = m_store.missing(FetchWindow);
     for (const auto number : missing) {
-        auto started = fetchOne(number, missing.size() >= ShareFrom, sender, now);
+        auto started = fetchOne(number, sender, now);
         actions.insert(actions.end(), started.begin(), started.end());
     }
     return actions;
 }
 
-SpreadActions PullDuty::fetchOne(TicketNumber number, bool share, const Sender &sender, TimePoint now)
+SpreadActions PullDuty::fetchOne(TicketNumber number, const Sender &sender, TimePoint now)
 {
     auto &fetch = m_fetches[number];
     if (now < fetch.deadline) {
         return {};
     }
-    const auto &self = m_topology.self();
-    if (share) {
-        const auto order = m_topology.fetchOrder(self.region, number, now);
-        const auto &peer = order[fetch.attempts % order.size()];
-        if (peer != self.host) {
-            fetch = Fetch {now + FetchTimeout, true, fetch.attempts, ++m_lastId};
-            ++m_counters.pullsSent;
-            return {SendPull {peer, PullRequest {m_lastId, m_store.state()->number, number, sender}}};
-        }
+    if (m_budget.take(now)) {
+        ++m_counters.serviceCalls;
+        fetch = Fetch {now + FetchTimeout, true, fetch.attempts, 0};
+        return {FetchTicket {number}};
     }
-    if (!m_budget.take(now)) {
-        ++m_counters.budgetRefusals;
+    ++m_counters.budgetRefusals;
+    const auto helper = chooseHelper(number, fetch.attempts, now);
+    if (!helper) {
         fetch.deadline = now + FetchRetryBase;
         return {};
     }
-    ++m_counters.serviceCalls;
-    fetch = Fetch {now + FetchTimeout, true, fetch.attempts, 0};
-    return {FetchTicket {number}};
+    ++m_counters.pullsSent;
+    fetch = Fetch {now + FetchTimeout, true, fetch.attempts, ++m_lastId};
+    return {SendPull {*helper, PullRequest {m_lastId, m_store.state()->number, number, sender}}};
+}
+
+/// Another node of the region that fetches \p number with its own share of calls.
+std::optional<HostId> PullDuty::chooseHelper(TicketNumber number, unsigned attempts, TimePoint now) const
+{
+    const auto &self = m_topology.self();
+    auto order = m_topology.fetchOrder(self.region, number, now);
+    std::erase(order, self.host);
+    if (order.empty()) {
+        return std::nullopt;
+    }
+    return order[attempts % order.size()];
 }
 
 void PullDuty::answered(const PullAnswer &answer, TimePoint now)
@@ -272,7 +279,7 @@
     m_lastFetched = number;
     const auto fetch = m_fetches.find(number);
     if (fetch != m_fetches.end()) {
-        fetch->second.inFlight = false;
+        m_fetches.erase(fetch);
     }
     ++m_counters.ticketsFetched;
 }
--- a/lib/spread/spreadcore.cpp
+++ b/lib/spread/spreadcore.cpp
@@ -24,8 +24,8 @@
     , m_store(store)
     , m_random(random)
     , m_membership(m_self.host, m_self.incarnation, membershipSettings(m_settings), random)
-    , m_fleet(m_settings.summaryStaleAfter)
-    , m_topology(m_self, m_settings, m_membership, m_fleet)
+    , m_zoneTable(m_settings.summaryStaleAfter)
+    , m_topology(m_self, m_settings, m_membership, m_zoneTable)
     , m_budget(m_settings.serviceCallsPerSecond, m_settings.fleetSizeUnknown)
     , m_watch(m_settings, m_budget, random, m_counters)
     , m_pull(m_settings, m_topology, store, m_budget, random, m_counters)
@@ -137,7 +137,7 @@
         m_membership.learn(rumour, now);
     }
     for (const auto &summary : message.summaries) {
-        m_fleet.learn(summary, now);
+        m_zoneTable.learn(summary, now);
     }
     takeSender(message.sender, now);
     publishIfAdvanced(now);
@@ -156,7 +156,11 @@
             m_watch.readerHeard(sender.host, now);
         }
     }
-    takeHead(Head {sender.applied.number, sender.applied.ticketDigest}, now);
+    const Head applied {sender.applied.number, sender.applied.ticketDigest};
+    if (applied.number == m_store.state()->number && !m_store.comparePeer(applied, sender.applied.stateDigest)) {
+        ++m_counters.conflicts;
+    }
+    takeHead(applied, now);
     takeHead(sender.accepted, now);
 }
 
@@ -165,12 +169,9 @@
     if (head.number == TicketNumber()) {
         return;
     }
-    const auto offer = m_store.offerHead(head);
-    if (offer == HeadOffer::Conflict) {
+    if (m_store.offerHead(head) == HeadVerdict::Conflict) {
         ++m_counters.conflicts;
         m_actions.emplace_back(ConflictSeen {head, m_store.head()});
-    } else if (offer == HeadOffer::Older) {
-        ++m_counters.olderHeads;
     }
     if (m_store.head().number > m_announced) {
         m_announced = m_store.head().number;
@@ -201,6 +202,7 @@
         m_join.sourceAnswered();
     }
     if (event.head) {
+        m_counters.olderHeads += event.head->number < m_store.head().number ? 1 : 0;
         takeHead(*event.head, now);
     }
 }
@@ -213,7 +215,7 @@
 void SpreadCore::on(const TicketFetched &event, TimePoint now)
 {
     const auto offer = m_store.offerTicket(event.number, event.bytes);
-    if (offer == TicketOffer::Mismatch) {
+    if (offer == TicketOffer::WrongDigest) {
         ++m_counters.digestMismatches;
         m_pull.ticketFetchFailed(event.number, now);
     } else {
@@ -255,8 +257,9 @@
     if (!answer.snapshot.empty()) {
         m_store.offerSnapshot(answer.snapshot);
     }
-    for (const auto &ticket : answer.tickets) {
-        if (m_store.offerTicket(ticket.number, ticket.bytes) == TicketOffer::Mismatch) {
+    // From the highest number down, since each ticket commits the one below.
+    for (auto ticket = answer.tickets.rbegin(); ticket != answer.tickets.rend(); ++ticket) {
+        if (m_store.offerTicket(ticket->number, ticket->bytes) == TicketOffer::WrongDigest) {
             ++m_counters.digestMismatches;
         }
     }
@@ -320,18 +323,18 @@
 std::optional<ZoneSummary> SpreadCore::zone(const ZoneId &zone, TimePoint now) const
 {
     if (zone != m_self.zone) {
-        return m_fleet.last(zone, now);
+        return m_zoneTable.last(zone, now);
     }
     if (m_watch.isReader()) {
         return ownZone(now);
     }
-    auto told = m_fleet.fresh(zone, now);
+    auto told = m_zoneTable.fresh(zone, now);
     return told ? told : ownZone(now);
 }
 
 bool SpreadCore::zoneKnown(const ZoneId &zone, TimePoint now) const
 {
-    return zone == m_self.zone || m_fleet.fresh(zone, now).has_value();
+    return zone == m_self.zone || m_zoneTable.fresh(zone, now).has_value();
 }
 
 } // namespace jasminemast
--- a/lib/spread/spreadgossip.cpp
+++ b/lib/spread/spreadgossip.cpp
@@ -37,7 +37,7 @@
         message.summaries.push_back(ownZone(now));
     }
     if (withSummary && ownZoneReceiver) {
-        if (auto summary = m_fleet.takeNext(now)) {
+        if (auto summary = m_zoneTable.takeNext(now)) {
             message.summaries.push_back(std::move(*summary));
         }
     }
--- /dev/null
+++ b/lib/spread/ticketstore.cpp
@@ -0,0 +1,70 @@
+// Adapts the ticket log.
+#include "jasminemast/spread/ticketstore.h"
+
+#include <utility>
+
+namespace jasminemast
+{
+
+TicketStore::TicketStore(TicketLog &log, const Clock &clock)
+    : m_log(log)
+    , m_clock(clock)
+{
+}
+
+StatePtr TicketStore::state() const
+{
+    return m_log.state();
+}
+
+Head TicketStore::head() const
+{
+    return m_log.target();
+}
+
+HeadVerdict TicketStore::offerHead(const Head &head)
+{
+    return m_log.offerHead(head);
+}
+
+std::vector<TicketNumber> TicketStore::missing(std::size_t limit) const
+{
+    std::vector<TicketNumber> numbers;
+    for (const auto &wanted : m_log.missing(limit)) {
+        numbers.push_back(wanted.number);
+    }
+    return numbers;
+}
+
+bool TicketStore::needsSnapshot() const
+{
+    return m_log.needsSnapshot();
+}
+
+TicketOffer TicketStore::offerTicket(TicketNumber number, std::string bytes)
+{
+    auto result = m_log.offerTicket(number, std::move(bytes), m_clock.wallNow());
+    m_entries.insert(m_entries.end(), result.entries.begin(), result.entries.end());
+    return result.offer;
+}
+
+bool TicketStore::comparePeer(const Head &head, const Digest &stateDigest)
+{
+    return m_log.comparePeer(head, stateDigest);
+}
+
+std::optional<std::string> TicketStore::ticket(TicketNumber number) const
+{
+    const auto bytes = m_log.recentBytes(number);
+    if (!bytes) {
+        return std::nullopt;
+    }
+    return *bytes;
+}
+
+std::vector<LogEntry> TicketStore::takeEntries()
+{
+    return std::exchange(m_entries, {});
+}
+
+} // namespace jasminemast
--- a/lib/spread/topology.cpp
+++ b/lib/spread/topology.cpp
@@ -8,11 +8,12 @@
 namespace jasminemast
 {
 
-Topology::Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const FleetView &fleet)
+Topology::Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership,
+                   const ZoneTable &zoneTable)
     : m_self(std::move(self))
     , m_settings(settings)
     , m_membership(membership)
-    , m_fleet(fleet)
+    , m_zoneTable(zoneTable)
 {
 }
 
@@ -76,7 +77,7 @@
             return HostCondition::Dead;
         }
     } else {
-        const auto summary = m_fleet.fresh(entry->zone, now);
+        const auto summary = m_zoneTable.fresh(entry->zone, now);
         if (!summary) {
             return HostCondition::Unknown;
         }
@@ -93,7 +94,7 @@
     if (zone == m_self.zone) {
         const auto deadPeers = m_membership.deadPeers();
         dead.insert(deadPeers.begin(), deadPeers.end());
-    } else if (const auto summary = m_fleet.fresh(zone, now)) {
+    } else if (const auto summary = m_zoneTable.fresh(zone, now)) {
         dead.insert(summary->dead.begin(), summary->dead.end());
     }
     std::vector<HostId> usable;
--- a/unittests/member/membershiptest.cpp
+++ b/unittests/member/membershiptest.cpp
@@ -1,8 +1,8 @@
 // Liveness of one zone: detection, refutation, pauses, and agreement whatever the order of rumours.
 #include "jasminemast/member/membership.h"
 
-#include "jasminemast/member/fleetview.h"
 #include "jasminemast/member/rendezvous.h"
+#include "jasminemast/member/zonetable.h"
 
 #include <algorithm>
 #include <gtest/gtest.h>
@@ -161,10 +161,10 @@
     EXPECT_NE(rendezvousOrder("reader/z2", hosts), order);
 }
 
-TEST(FleetView, aSilentZoneTurnsUnknownAndKeepsItsAge)
+TEST(ZoneTable, aSilentZoneTurnsUnknownAndKeepsItsAge)
 {
     ManualClock clock;
-    FleetView view(Milliseconds(10'000));
+    ZoneTable view(Milliseconds(10'000));
     ZoneSummary summary;
     summary.zone = ZoneId("z1");
     summary.highest = TicketNumber(9);
@@ -179,10 +179,10 @@
     EXPECT_FALSE(view.takeNext(clock.now()));
 }
 
-TEST(FleetView, anOlderSummaryThatArrivesLateIsDropped)
+TEST(ZoneTable, anOlderSummaryThatArrivesLateIsDropped)
 {
     ManualClock clock;
-    FleetView view(Milliseconds(10'000));
+    ZoneTable view(Milliseconds(10'000));
     ZoneSummary summary;
     summary.zone = ZoneId("z1");
     summary.highest = TicketNumber(9);
