[settings] bound size and depth, refuse duplicate keys, keep a catalogue of every key

Cause: a settings file could be of any size and depth (copying a deep value recurses), a key could stand twice, an empty file counted as unreadable, and a URL could carry user information. Change: parseSettingsJson bounds the text while it is parsed; URLs are http://ADDRESS:PORT; the reader records each key with type, range and default, so that docs/settings.md can be compared with what is really read.

--- a/include/jasminemast/settings/jsonreader.h
+++ b/include/jasminemast/settings/jsonreader.h
@@ -17,12 +17,27 @@
 namespace jasminemast
 {
 
+/// What may stand under one key of a settings file.
+struct SettingInfo
+{
+    std::string path;
+    std::string type;
+    std::string range; ///< what is taken, as refusals put it
+    std::string fallback; ///< the value when absent; "required" when it must be there
+
+    auto operator<=>(const SettingInfo &) const = default;
+};
+
+/// Every key that was asked for, in this order; the table of docs/settings.md is compared with it.
+using SettingCatalogue = std::vector<SettingInfo>;
+
 /// One object of a settings file.
 class JsonReader
 {
 public:
+    /// Adds what it is asked for to \p catalogue unless that is null.
     /// \throws ResultError with SettingsWrongType when \p value is no object.
-    JsonReader(const nlohmann::json &value, std::string path);
+    JsonReader(const nlohmann::json &value, std::string path, SettingCatalogue *catalogue = nullptr);
 
     [[nodiscard]] bool has(const char *key) const;
     /// \throws ResultError with SettingsMissing, SettingsWrongType or SettingsOutOfRange.
@@ -36,6 +51,10 @@
     Milliseconds milliseconds(const char *key, Milliseconds least, Milliseconds most, Milliseconds fallback);
     /// An IP number in dotted form.
     std::string ipAddress(const char *key);
+    std::string ipAddress(const char *key, const std::string &fallback);
+    /// http://ADDRESS:PORT.
+    std::string url(const char *key);
+    std::uint16_t port(const char *key);
     /// An empty object when absent.
     JsonReader object(const char *key);
     /// Readers of an array's objects; none when absent.
@@ -50,9 +69,14 @@
 private:
     const nlohmann::json *find(const char *key);
     const nlohmann::json &require(const char *key);
+    std::string readString(const char *key);
+    std::string readIpAddress(const char *key);
+    std::uint64_t readNumber(const char *key, std::uint64_t least, std::uint64_t most);
+    void record(const char *key, std::string type, std::string range, std::string fallback);
 
     nlohmann::json m_value;
     std::string m_path;
+    SettingCatalogue *m_catalogue;
     std::set<std::string, std::less<>> m_asked;
 };
 
--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminemast/net/linkpool.h"
+#include "jasminemast/settings/jsonreader.h"
 #include "jasminemast/support/ids.h"
 
 #include <cstdint>
@@ -47,8 +48,9 @@
 };
 
 /// Parses and checks settings.
+/// Adds every key that settings may hold to \p catalogue unless that is null.
 /// \throws ResultError with a 1xxx code that names the path and what was expected.
-NodeSettings parseNodeSettings(std::string_view json);
+NodeSettings parseNodeSettings(std::string_view text, SettingCatalogue *catalogue = nullptr);
 
 /// Reads and parses the settings file at \p path.
 /// \throws ResultError as parseNodeSettings, or with SettingsUnreadable.
--- a/lib/settings/jsonreader.cpp
+++ b/lib/settings/jsonreader.cpp
@@ -3,12 +3,69 @@
 
 #include <arpa/inet.h>
 
+#include <charconv>
+#include <sstream>
+
 namespace jasminemast
 {
 
-JsonReader::JsonReader(const nlohmann::json &value, std::string path)
+namespace
+{
+
+constexpr std::size_t MaxStringLength = 256;
+constexpr std::uint64_t MaxPort = 65'535;
+constexpr const char *Required = "required";
+constexpr const char *IpAddressRange = "an IPv4 address in dotted form";
+constexpr const char *UrlRange = "http://ADDRESS:PORT without a path";
+
+std::string stringRange()
+{
+    return "1 to " + std::to_string(MaxStringLength) + " characters";
+}
+
+std::string numberRange(std::uint64_t least, std::uint64_t most)
+{
+    return "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
+}
+
+std::string realText(double value)
+{
+    std::ostringstream text;
+    text << value;
+    return text.str();
+}
+
+bool isIpAddress(const std::string &text)
+{
+    in_addr parsed {};
+    return inet_pton(AF_INET, text.c_str(), &parsed) == 1;
+}
+
+bool isPort(std::string_view text)
+{
+    std::uint64_t port = 0;
+    const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), port);
+    return error == std::errc() && end == text.data() + text.size() && port >= 1 && port <= MaxPort;
+}
+
+bool isUrl(std::string_view text)
+{
+    constexpr std::string_view Scheme = "http://";
+    if (!text.starts_with(Scheme)) {
+        return false;
+    }
+    text.remove_prefix(Scheme.size());
+    const std::size_t colon = text.find(':');
+    return colon != std::string_view::npos && isIpAddress(std::string(text.substr(0, colon)))
+        && isPort(text.substr(colon + 1));
+}
+
+} // namespace
+
+JsonReader::JsonReader(const nlohmann::json &value, std::string path, SettingCatalogue *catalogue)
     : m_value(value)
     , m_path(std::move(path))
+    , m_catalogue(catalogue)
 {
     if (!m_value.is_object()) {
         throw ResultError(ResultCode::SettingsWrongType, (m_path.empty() ? "/" : m_path) + ": expected an object");
@@ -30,6 +87,13 @@
     return m_value.contains(key);
 }
 
+void JsonReader::record(const char *key, std::string type, std::string range, std::string fallback)
+{
+    if (m_catalogue != nullptr) {
+        m_catalogue->push_back({pathOf(key), std::move(type), std::move(range), std::move(fallback)});
+    }
+}
+
 const nlohmann::json *JsonReader::find(const char *key)
 {
     m_asked.insert(key);
@@ -46,50 +110,68 @@
     return *value;
 }
 
-std::string JsonReader::string(const char *key)
+std::string JsonReader::readString(const char *key)
 {
-    constexpr std::size_t MaxLength = 256;
     const nlohmann::json &value = require(key);
     if (!value.is_string()) {
         fail(ResultCode::SettingsWrongType, key, "a string");
     }
     auto text = value.get<std::string>();
-    if (text.empty() || text.size() > MaxLength) {
-        fail(ResultCode::SettingsOutOfRange, key, "1 to " + std::to_string(MaxLength) + " characters");
+    if (text.empty() || text.size() > MaxStringLength) {
+        fail(ResultCode::SettingsOutOfRange, key, stringRange());
     }
     return text;
 }
 
+std::string JsonReader::string(const char *key)
+{
+    record(key, "string", stringRange(), Required);
+    return readString(key);
+}
+
 std::string JsonReader::string(const char *key, const std::string &fallback)
 {
-    return find(key) == nullptr ? fallback : string(key);
+    record(key, "string", stringRange(), fallback);
+    return find(key) == nullptr ? fallback : readString(key);
 }
 
-std::uint64_t JsonReader::number(const char *key, std::uint64_t least, std::uint64_t most)
+std::uint64_t JsonReader::readNumber(const char *key, std::uint64_t least, std::uint64_t most)
 {
     const nlohmann::json &value = require(key);
-    const std::string range = "a whole number from " + std::to_string(least) + " to " + std::to_string(most);
     if (!value.is_number_integer()) {
-        fail(ResultCode::SettingsWrongType, key, range);
+        fail(ResultCode::SettingsWrongType, key, numberRange(least, most));
     }
     if (!value.is_number_unsigned() || value.get<std::uint64_t>() < least || value.get<std::uint64_t>() > most) {
-        fail(ResultCode::SettingsOutOfRange, key, range);
+        fail(ResultCode::SettingsOutOfRange, key, numberRange(least, most));
     }
     return value.get<std::uint64_t>();
 }
 
+std::uint64_t JsonReader::number(const char *key, std::uint64_t least, std::uint64_t most)
+{
+    record(key, "integer", numberRange(least, most), Required);
+    return readNumber(key, least, most);
+}
+
 std::uint64_t JsonReader::number(const char *key, std::uint64_t least, std::uint64_t most, std::uint64_t fallback)
 {
-    return find(key) == nullptr ? fallback : number(key, least, most);
+    record(key, "integer", numberRange(least, most), std::to_string(fallback));
+    return find(key) == nullptr ? fallback : readNumber(key, least, most);
+}
+
+std::uint16_t JsonReader::port(const char *key)
+{
+    return static_cast<std::uint16_t>(number(key, 1, MaxPort));
 }
 
 double JsonReader::real(const char *key, double least, double most, double fallback)
 {
+    const std::string range = "a number from " + realText(least) + " to " + realText(most);
+    record(key, "number", range, realText(fallback));
     const nlohmann::json *value = find(key);
     if (value == nullptr) {
         return fallback;
     }
-    const std::string range = "a number from " + std::to_string(least) + " to " + std::to_string(most);
     if (!value->is_number()) {
         fail(ResultCode::SettingsWrongType, key, range);
     }
@@ -102,6 +184,7 @@
 
 bool JsonReader::boolean(const char *key, bool fallback)
 {
+    record(key, "boolean", "true or false", fallback ? "true" : "false");
     const nlohmann::json *value = find(key);
     if (value == nullptr) {
         return fallback;
@@ -118,12 +201,33 @@
                                static_cast<std::uint64_t>(fallback.count())));
 }
 
+std::string JsonReader::readIpAddress(const char *key)
+{
+    std::string text = readString(key);
+    if (!isIpAddress(text)) {
+        fail(ResultCode::SettingsOutOfRange, key, IpAddressRange);
+    }
+    return text;
+}
+
 std::string JsonReader::ipAddress(const char *key)
 {
-    std::string text = string(key);
-    in_addr parsed {};
-    if (inet_pton(AF_INET, text.c_str(), &parsed) != 1) {
-        fail(ResultCode::SettingsOutOfRange, key, "an IPv4 address in dotted form");
+    record(key, "string", IpAddressRange, Required);
+    return readIpAddress(key);
+}
+
+std::string JsonReader::ipAddress(const char *key, const std::string &fallback)
+{
+    record(key, "string", IpAddressRange, fallback);
+    return find(key) == nullptr ? fallback : readIpAddress(key);
+}
+
+std::string JsonReader::url(const char *key)
+{
+    record(key, "string", UrlRange, Required);
+    std::string text = readString(key);
+    if (!isUrl(text)) {
+        fail(ResultCode::SettingsOutOfRange, key, UrlRange);
     }
     return text;
 }
@@ -131,7 +235,7 @@
 JsonReader JsonReader::object(const char *key)
 {
     const nlohmann::json *value = find(key);
-    return {value == nullptr ? nlohmann::json::object() : *value, pathOf(key)};
+    return {value == nullptr ? nlohmann::json::object() : *value, pathOf(key), m_catalogue};
 }
 
 std::vector<JsonReader> JsonReader::objects(const char *key)
@@ -145,7 +249,7 @@
         fail(ResultCode::SettingsWrongType, key, "an array of objects");
     }
     for (std::size_t i = 0; i < value->size(); ++i) {
-        readers.emplace_back((*value)[i], pathOf(key) + "/" + std::to_string(i));
+        readers.emplace_back((*value)[i], pathOf(key) + "/" + std::to_string(i), m_catalogue);
     }
     return readers;
 }
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -1,10 +1,9 @@
 // The schema of node settings.
 #include "jasminemast/settings/nodesettings.h"
 
-#include "jasminemast/settings/jsonreader.h"
+#include "jasminemast/settings/settingsjson.h"
 
 #include <fstream>
-#include <sstream>
 
 namespace jasminemast
 {
@@ -14,8 +13,6 @@
 
 using std::chrono_literals::operator""ms;
 
-constexpr std::uint64_t MaxPort = 65'535;
-
 HostRecord readHost(JsonReader &reader)
 {
     HostRecord host;
@@ -26,20 +23,6 @@
     return host;
 }
 
-std::uint16_t readPort(JsonReader &reader, const char *key)
-{
-    return static_cast<std::uint16_t>(reader.number(key, 1, MaxPort));
-}
-
-std::string readUrl(JsonReader &reader, const char *key)
-{
-    std::string url = reader.string(key);
-    if (!url.starts_with("http://") || url.ends_with("/")) {
-        reader.fail(ResultCode::SettingsOutOfRange, key, "http://ADDRESS:PORT without a trailing slash");
-    }
-    return url;
-}
-
 LinkSettings readLinks(JsonReader reader)
 {
     LinkSettings links;
@@ -75,22 +58,18 @@
 
 } // namespace
 
-NodeSettings parseNodeSettings(std::string_view json)
+NodeSettings parseNodeSettings(std::string_view text, SettingCatalogue *catalogue)
 {
-    const auto parsed = nlohmann::json::parse(json, nullptr, false);
-    if (parsed.is_discarded()) {
-        throw ResultError(ResultCode::SettingsNotJson, "/: expected JSON");
-    }
-    JsonReader reader(parsed, "");
+    JsonReader reader(parseSettingsJson(text), "", catalogue);
     NodeSettings settings;
     settings.self = readHost(reader);
-    settings.callerPort = readPort(reader, "callerPort");
-    settings.operatorPort = readPort(reader, "operatorPort");
-    settings.linkPort = readPort(reader, "linkPort");
-    settings.configSource = readUrl(reader, "configSource");
-    settings.hostList = readUrl(reader, "hostList");
+    settings.callerPort = reader.port("callerPort");
+    settings.operatorPort = reader.port("operatorPort");
+    settings.linkPort = reader.port("linkPort");
+    settings.configSource = reader.url("configSource");
+    settings.hostList = reader.url("hostList");
     settings.storeRegion = RegionId(reader.string("storeRegion"));
-    settings.targetAddress = reader.has("targetAddress") ? reader.ipAddress("targetAddress") : settings.self.address;
+    settings.targetAddress = reader.ipAddress("targetAddress", settings.self.address);
     for (JsonReader &seed : reader.objects("seeds")) {
         settings.seeds.push_back(readHost(seed));
         seed.finish();
@@ -104,12 +83,14 @@
 
 NodeSettings readNodeSettings(const std::string &path)
 {
-    std::ifstream file(path);
-    std::ostringstream text;
-    if (!file || !(text << file.rdbuf())) {
+    std::ifstream file(path, std::ios::binary);
+    std::string text(SettingsLimits::MaxBytes + 1, '\0');
+    file.read(text.data(), static_cast<std::streamsize>(text.size()));
+    if (!file.is_open() || file.bad()) {
         throw ResultError(ResultCode::SettingsUnreadable, path);
     }
-    return parseNodeSettings(text.str());
+    text.resize(static_cast<std::size_t>(file.gcount()));
+    return parseNodeSettings(text);
 }
 
 } // namespace jasminemast
