--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminemast/net/linkpool.h"
+#include "jasminemast/spread/settings.h"
 #include "jasminemast/support/ids.h"
 
 #include <cstdint>
@@ -44,6 +45,7 @@
     std::vector<HostRecord> seeds;
     LinkSettings links;
     CallSettings calls;
+    SpreadSettings control;
 };
 
 /// Parses and checks settings.
--- a/include/jasminemast/spread/settings.h
+++ b/include/jasminemast/spread/settings.h
@@ -1,12 +1,10 @@
-// Settings of configuration distribution: the "control" section of a node's settings.
+// Settings of configuration distribution.
 #pragma once
 
 #include "jasminemast/member/membership.h"
 #include "jasminemast/support/clock.h"
 #include "jasminemast/support/ids.h"
 
-#include <nlohmann/json_fwd.hpp>
-
 namespace jasminemast
 {
 
@@ -40,8 +38,4 @@
     MembershipSettings membership;
 };
 
-/// Parses the "control" section; absent keys keep their defaults.
-/// \throws ResultError with ControlSettingsInvalid for an unknown key, a wrong type or a value out of range.
-SpreadSettings parseSpreadSettings(const nlohmann::json &section);
-
 } // namespace jasminemast
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -1,6 +1,7 @@
 // The schema of node settings.
 #include "jasminemast/settings/nodesettings.h"
 
+#include "jasminemast/settings/controlsettings.h"
 #include "jasminemast/settings/jsonreader.h"
 
 #include <fstream>
@@ -97,6 +98,8 @@
     }
     settings.links = readLinks(reader.object("links"));
     settings.calls = readCalls(reader.object("calls"));
+    settings.control = readControlSettings(reader.object("control"));
+    settings.control.storeRegion = settings.storeRegion;
     reader.finish();
     checkPorts(reader, settings);
     return settings;
