[spread] fetch in doubling steps, tell peers again, take over sooner

Cause: with half of a small zone dead, first announcements go to dead hosts and the region's fetchers, one after the other, are dead too. Change: the number of nodes that may fetch doubles with each step of regionFallbackDelay; zone and region peers are told twice more; suspects hold no duties; readers are missed after 0.8 to 1 s.

--- a/include/jasminemast/member/membership.h
+++ b/include/jasminemast/member/membership.h
@@ -34,7 +34,7 @@
 struct MembershipSettings
 {
     Milliseconds probeInterval {1000};
-    Milliseconds ackTimeout {300}; ///< then indirect probes start
+    Milliseconds ackTimeout {300}; ///< then indirect probes start; suspicion follows after the same time again
     Milliseconds suspicionTimeout {2000}; ///< from suspicion to death
     unsigned indirectProbes = 2;
     unsigned rumourRepeats = 8; ///< times that one rumour is passed on
@@ -86,6 +86,8 @@
 
     /// Hosts of the zone that are not dead, without this one.
     [[nodiscard]] std::vector<HostId> livePeers() const;
+    /// Hosts of the zone that are neither dead nor suspected, without this one.
+    [[nodiscard]] std::vector<HostId> trustedPeers() const;
     [[nodiscard]] std::vector<HostId> deadPeers() const;
     /// Nothing for a host that is unknown in this zone.
     [[nodiscard]] std::optional<Liveness> liveness(const HostId &host) const;
--- a/include/jasminemast/spread/pullduty.h
+++ b/include/jasminemast/spread/pullduty.h
@@ -89,6 +89,7 @@
     std::optional<TimePoint> m_needSince; ///< set while the head is above the applied number
     TicketNumber m_neededHead; ///< head that m_needSince and m_rank belong to
     std::optional<std::size_t> m_rank; ///< this node's place in the region's order for m_neededHead
+    std::uint64_t m_rankRevision = 0; ///< revision of the topology that m_rank was taken from
     TimePoint m_nextAsk;
     std::uint64_t m_lastId = 0;
     TicketNumber m_lastFetched;
--- a/include/jasminemast/spread/settings.h
+++ b/include/jasminemast/spread/settings.h
@@ -17,11 +17,11 @@
     unsigned announceFanout = 4; ///< zone peers told of a new head, and again once it is applied
     unsigned regionAnnounceCount = 1; ///< nodes told of a new head in each other region
     unsigned regionPushCount = 0; ///< nodes that get the ticket itself pushed in each other region
-    Milliseconds regionFallbackDelay {500}; ///< step by which the next node of a region fetches for itself
+    Milliseconds regionFallbackDelay {300}; ///< step after which more nodes of a region fetch for themselves
     Milliseconds askDelay {200}; ///< after which a node without the ticket asks another random peer
     Milliseconds watchWait {4000}; ///< longest wait of one watch call
-    Milliseconds readerHeartbeat {1000};
-    Milliseconds readerTimeout {2500}; ///< silence after which a standby takes over from a reader
+    Milliseconds readerHeartbeat {400};
+    Milliseconds readerTimeout {1000}; ///< silence after which a standby takes over from a reader
     Milliseconds antiEntropyInterval {1000};
     unsigned outsideShare = 10; ///< one exchange in this many goes to another zone
     Milliseconds reportInterval {3000}; ///< between reports of the own version to the zone's readers
--- a/include/jasminemast/spread/spreadcore.h
+++ b/include/jasminemast/spread/spreadcore.h
@@ -88,12 +88,14 @@
     void answerBody(const ControlMessage &message, TimePoint now);
     void send(const HostId &to, ControlBody body, TimePoint now, bool withSummary = false);
     void announce(TimePoint now);
+    void announceInOwnRegion(TimePoint now);
     void announceInZone(TimePoint now);
     void announceToZone(const ZoneId &zone, TimePoint now);
-    void announceToRegion(const RegionId &region, const std::vector<HostId> &ownOrder, TimePoint now);
-    void pushToRegion(const RegionId &region, TimePoint now);
+    void announceToRegion(const RegionId &region, TimePoint now);
+    void offerToRegion(const RegionId &region, TimePoint now);
     void announceTo(const HostId &host, TimePoint now);
     void heartbeatAsReader(TimePoint now);
+    void exchangeAsReader(TimePoint now);
     void exchangeOutside(TimePoint now);
     void reportToReaders(TimePoint now);
     void askJoinPeers(TimePoint now);
@@ -119,6 +121,8 @@
     TicketNumber m_published; ///< number of the last published state; only grows
     TicketNumber m_announced; ///< highest head announced
     std::vector<HostId> m_fanoutOrder; ///< zone peers still to be announced to, so that rounds do not repeat hosts
+    unsigned m_announceRepeats = 0; ///< times that zone peers are still to be told of the last applied ticket
+    TimePoint m_repeatAnnounceAt;
     TimePoint m_nextReview;
     TimePoint m_nextHeartbeat;
     TimePoint m_nextOutside;
--- a/include/jasminemast/spread/topology.h
+++ b/include/jasminemast/spread/topology.h
@@ -57,7 +57,13 @@
     [[nodiscard]] bool inStoreRegion() const;
 
     [[nodiscard]] HostCondition condition(const HostId &host, TimePoint now) const;
-    /// Hosts of \p zone that may hold duties; this host is among them in its own zone unless it leaves.
+    /// Changes whenever the usable hosts of the own zone may have changed.
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_membership.revision();
+    }
+    /// Hosts of \p zone that may hold duties: neither dead nor leaving, in the own zone not even suspected; this host
+    /// is among them in its own zone unless it leaves.
     [[nodiscard]] std::vector<HostId> usableInZone(const ZoneId &zone, TimePoint now) const;
     [[nodiscard]] std::vector<HostId> usableInRegion(const RegionId &region, TimePoint now) const;
     /// Hosts of \p zone in the order in which they are to watch the service.
--- a/lib/member/membership.cpp
+++ b/lib/member/membership.cpp
@@ -86,7 +86,7 @@
             actions.emplace_back(SendIndirectProbe {helper, m_probe->target, m_probe->sequence});
         }
     }
-    if (now - m_probe->sentAt < m_settings.probeInterval) {
+    if (now - m_probe->sentAt < 2 * m_settings.ackTimeout) {
         return;
     }
     const auto found = m_members.find(m_probe->target);
@@ -269,6 +269,17 @@
     return hosts;
 }
 
+std::vector<HostId> Membership::trustedPeers() const
+{
+    std::vector<HostId> hosts;
+    for (const auto &[host, member] : m_members) {
+        if (member.rumour.liveness == Liveness::Alive) {
+            hosts.push_back(host);
+        }
+    }
+    return hosts;
+}
+
 std::vector<HostId> Membership::deadPeers() const
 {
     std::vector<HostId> hosts;
--- a/lib/spread/pullduty.cpp
+++ b/lib/spread/pullduty.cpp
@@ -4,6 +4,7 @@
 #include "jasminemast/member/rendezvous.h"
 
 #include <algorithm>
+#include <bit>
 
 namespace jasminemast
 {
@@ -153,7 +154,8 @@
 SpreadActions PullDuty::fetchForRegion(const Sender &sender, TimePoint now)
 {
     const auto &self = m_topology.self();
-    if (!m_rank) {
+    if (!m_rank || m_rankRevision != m_topology.revision()) {
+        m_rankRevision = m_topology.revision();
         const auto order = m_topology.fetchOrder(self.region, m_neededHead, now);
         const auto own = std::find(order.begin(), order.end(), self.host);
         m_rank = static_cast<std::size_t>(own - order.begin());
@@ -161,7 +163,9 @@
     const bool away = !m_topology.inStoreRegion();
     const bool pushExpected = away && *m_rank < m_settings.regionPushCount;
     const auto step = m_settings.regionFallbackDelay;
-    const auto mayFetchAt = *m_needSince + step * (*m_rank + (pushExpected ? 1 : 0));
+    // Each step twice as many nodes as in the step before may fetch, so that dead ones hold nobody up for long.
+    const auto steps = std::bit_width(*m_rank) + (pushExpected ? 1 : 0);
+    const auto mayFetchAt = *m_needSince + step * steps;
     if (now < mayFetchAt) {
         return {};
     }
--- a/lib/spread/spreadcore.cpp
+++ b/lib/spread/spreadcore.cpp
@@ -7,7 +7,9 @@
 namespace
 {
 
-constexpr Milliseconds ReviewInterval {250};
+constexpr Milliseconds ReviewInterval {100};
+constexpr Milliseconds RepeatAnnounceDelay {400};
+constexpr unsigned AnnounceRepeats = 2; ///< reach peers whose first announcement went to dead ones
 
 MembershipSettings membershipSettings(const SpreadSettings &settings)
 {
@@ -100,6 +102,11 @@
     if (m_pull.takeAskDue(now)) {
         askRandomPeer(now);
     }
+    if (m_announceRepeats > 0 && now >= m_repeatAnnounceAt) {
+        --m_announceRepeats;
+        m_repeatAnnounceAt = now + RepeatAnnounceDelay;
+        announceInOwnRegion(now);
+    }
     if (m_watch.isReader() && now >= m_nextHeartbeat) {
         m_nextHeartbeat = now + m_settings.readerHeartbeat;
         heartbeatAsReader(now);
@@ -189,9 +196,11 @@
     m_actions.emplace_back(PublishState {state});
     m_nextReport = std::min(m_nextReport, now + Milliseconds(m_random.below(200)));
     announce(now);
-    if (m_pull.fetchedFromService(state->number)) {
+    m_announceRepeats = AnnounceRepeats;
+    m_repeatAnnounceAt = now + RepeatAnnounceDelay;
+    if (m_pull.fetchedFromService(state->number) && m_topology.inStoreRegion()) {
         for (const auto &region : m_topology.otherRegions()) {
-            pushToRegion(region, now);
+            offerToRegion(region, now);
         }
     }
 }
--- a/lib/spread/spreadgossip.cpp
+++ b/lib/spread/spreadgossip.cpp
@@ -86,25 +86,40 @@
 {
     for (unsigned sent = 0; sent < m_settings.announceFanout; ++sent) {
         if (m_fanoutOrder.empty()) {
-            m_fanoutOrder = m_membership.livePeers();
+            m_fanoutOrder = m_membership.trustedPeers();
         }
         if (m_fanoutOrder.empty()) {
             return;
         }
         const auto host = drawLast(m_fanoutOrder, m_random);
         m_fanoutOrder.pop_back();
-        send(host, Announce {}, now);
+        if (m_membership.liveness(host) == Liveness::Alive) {
+            send(host, Announce {}, now);
+        }
     }
 }
 
 void SpreadCore::announce(TimePoint now)
 {
-    announceInZone(now);
+    announceInOwnRegion(now);
     const auto order = m_topology.fetchOrder(m_self.region, m_store.head().number, now);
-    for (std::size_t i = 0; i < std::min(order.size(), RegionAnnouncers); ++i) {
-        announceTo(order[i], now);
+    const bool first = !order.empty() && order.front() == m_self.host;
+    if (!first || !m_topology.inStoreRegion()) {
+        return;
+    }
+    for (const auto &region : m_topology.otherRegions()) {
+        announceToRegion(region, now);
     }
+}
+
+void SpreadCore::announceInOwnRegion(TimePoint now)
+{
+    announceInZone(now);
+    const auto order = m_topology.fetchOrder(m_self.region, m_store.head().number, now);
     const auto announcers = order.begin() + static_cast<std::ptrdiff_t>(std::min(order.size(), RegionAnnouncers));
+    for (auto host = order.begin(); host != announcers; ++host) {
+        announceTo(*host, now);
+    }
     const bool announcer = std::find(order.begin(), announcers, m_self.host) != announcers;
     if (!announcer && !m_watch.isReader()) {
         return;
@@ -112,9 +127,6 @@
     for (const auto &zone : m_topology.otherZones(true)) {
         announceToZone(zone, now);
     }
-    for (const auto &region : m_topology.otherRegions()) {
-        announceToRegion(region, order, now);
-    }
 }
 
 void SpreadCore::announceToZone(const ZoneId &zone, TimePoint now)
@@ -124,33 +136,36 @@
         return;
     }
     announceTo(order.front(), now);
-    announceTo(drawLast(order, m_random), now);
+    for (unsigned sent = 1; sent < m_settings.announceFanout && !order.empty(); ++sent) {
+        announceTo(drawLast(order, m_random), now);
+        order.pop_back();
+    }
 }
 
-void SpreadCore::announceToRegion(const RegionId &region, const std::vector<HostId> &ownOrder, TimePoint now)
+void SpreadCore::announceToRegion(const RegionId &region, TimePoint now)
 {
-    const bool first = !ownOrder.empty() && ownOrder.front() == m_self.host;
-    if (!first || !m_topology.inStoreRegion()) {
-        return;
-    }
     const auto order = m_topology.fetchOrder(region, m_store.head().number, now);
     for (std::size_t i = 0; i < std::min<std::size_t>(order.size(), m_settings.regionAnnounceCount); ++i) {
         announceTo(order[i], now);
     }
 }
 
-void SpreadCore::pushToRegion(const RegionId &region, TimePoint now)
+/// Hands a ticket that this node fetched from the service to the other regions: pushed or announced.
+void SpreadCore::offerToRegion(const RegionId &region, TimePoint now)
 {
-    if (!m_topology.inStoreRegion()) {
-        return;
-    }
     const auto number = m_store.state()->number;
     const auto order = m_topology.fetchOrder(region, number, now);
-    for (std::size_t i = 0; i < std::min<std::size_t>(order.size(), m_settings.regionPushCount); ++i) {
+    const std::size_t pushes = m_settings.regionPushCount;
+    const auto told = std::min<std::size_t>(order.size(), pushes + m_settings.regionAnnounceCount);
+    for (std::size_t i = 0; i < told; ++i) {
         const auto *known = m_pull.knowledge(order[i]);
         if (known != nullptr && known->applied >= number) {
             continue;
         }
+        if (i >= pushes) {
+            send(order[i], Announce {}, now);
+            continue;
+        }
         ++m_counters.pushesSent;
         m_actions.emplace_back(AnswerPull {order[i], m_server.tail(TicketNumber(number.value() - 1), sender(now))});
     }
@@ -159,17 +174,23 @@
 void SpreadCore::heartbeatAsReader(TimePoint now)
 {
     const auto order = m_topology.readerOrder(m_self.zone, now);
-    const auto duty = m_topology.readersPerZone(m_self.region) + m_settings.standbysPerZone;
-    for (std::size_t i = 0; i < std::min<std::size_t>(order.size(), duty); ++i) {
+    const std::size_t readers = m_topology.readersPerZone(m_self.region);
+    const auto onDuty = std::min<std::size_t>(order.size(), readers + m_settings.standbysPerZone);
+    for (std::size_t i = readers; i < onDuty; ++i) {
         if (order[i] != m_self.host) {
             send(order[i], Announce {}, now);
         }
     }
+}
+
+/// One exchange with a reader of another zone: this is how summaries travel.
+void SpreadCore::exchangeAsReader(TimePoint now)
+{
     const auto zones = m_topology.otherZones(false);
     if (zones.empty()) {
         return;
     }
-    auto readers = m_topology.readerOrder(zones[m_random.below(zones.size())], now);
+    const auto readers = m_topology.readerOrder(zones[m_random.below(zones.size())], now);
     if (!readers.empty()) {
         send(readers.front(), Ping {}, now, true);
     }
@@ -177,6 +198,9 @@
 
 void SpreadCore::exchangeOutside(TimePoint now)
 {
+    if (m_watch.isReader()) {
+        exchangeAsReader(now);
+    }
     if (m_random.below(m_settings.outsideShare) != 0) {
         return;
     }
@@ -215,7 +239,7 @@
 
 void SpreadCore::askRandomPeer(TimePoint now)
 {
-    auto peers = m_membership.livePeers();
+    auto peers = m_membership.trustedPeers();
     if (peers.empty()) {
         return;
     }
--- a/lib/spread/topology.cpp
+++ b/lib/spread/topology.cpp
@@ -91,10 +91,8 @@
 std::vector<HostId> Topology::usableInZone(const ZoneId &zone, TimePoint now) const
 {
     std::set<HostId> dead;
-    if (zone == m_self.zone) {
-        const auto deadPeers = m_membership.deadPeers();
-        dead.insert(deadPeers.begin(), deadPeers.end());
-    } else if (const auto summary = m_zoneTable.fresh(zone, now)) {
+    const bool ownZone = zone == m_self.zone;
+    if (const auto summary = m_zoneTable.fresh(zone, now); summary && !ownZone) {
         dead.insert(summary->dead.begin(), summary->dead.end());
     }
     std::vector<HostId> usable;
@@ -105,6 +103,10 @@
         if (dead.contains(host) || m_leaving.contains(host)) {
             continue;
         }
+        const auto liveness = ownZone ? m_membership.liveness(host) : std::nullopt;
+        if (liveness && *liveness != Liveness::Alive) {
+            continue;
+        }
         if (host == m_self.host && m_selfLeaving) {
             continue;
         }
