[call] add fence table, call state machine, retry budget, admission, choice, drain and pause guard

The fence keeps two floors for each entry host (lowest link generation, highest forgotten sequence) instead of a record for each fenced attempt: both are exact however late a message arrives, and their memory grows with hosts, not with calls.

--- /dev/null
+++ b/include/jasminemast/call/choice.h
@@ -0,0 +1,112 @@
+// Choice of an endpoint: near ones first, the less loaded of two random ones, without the leaving and the failing.
+#pragma once
+
+#include "jasminemast/support/clock.h"
+#include "jasminemast/support/ids.h"
+#include "jasminemast/support/random.h"
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <set>
+#include <span>
+#include <vector>
+
+namespace jasminemast
+{
+
+struct ChoiceLimits
+{
+    double spillAt = 0.95; ///< mean load of the near endpoints at which farther ones are used as well
+    double returnAt = 0.75; ///< mean load of the near endpoints at which they are enough again
+    Duration slowStart = std::chrono::seconds(5); ///< a cold endpoint reaches its full share in this time
+    double slowStartFloor = 0.1; ///< share of a cold endpoint at first
+    Duration reportLifetime = std::chrono::seconds(1); ///< age at which a load report is forgotten
+    unsigned failuresToEject = 5; ///< failures in a row
+    Duration ejectFor = std::chrono::seconds(1); ///< first ejection; doubled each time
+    Duration ejectAtMost = std::chrono::seconds(30);
+    double maxEjectedShare = 0.34; ///< of the endpoints of a service; at least the rest stays in use
+};
+
+/// An endpoint that may be chosen, as the configuration and the host list describe it.
+struct Candidate
+{
+    EndpointId id;
+    HostId host;
+    ZoneId zone;
+    RegionId region;
+    unsigned slots = 1;
+    bool leaving = false; ///< by ticket or host list
+};
+
+/// How an attempt ended, as evidence about its endpoint.
+enum class AttemptEvidence : std::uint8_t {
+    Success, ///< any answer of the target
+    Failure, ///< the target or its node was not reached, or lost the answer
+    Neutral, ///< refused for load or leaving, or cancelled
+};
+
+/// Picks endpoints of one service for one node.
+///
+/// Invariants: a leaving endpoint is never picked; ejected endpoints never exceed the share, whatever fails.
+class Choice
+{
+public:
+    Choice(ZoneId zone, RegionId region, ChoiceLimits limits);
+
+    /// Replaces the candidates; what is known of those that stay is kept.
+    void setCandidates(std::vector<Candidate> candidates, TimePoint now);
+
+    /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable.
+    std::optional<EndpointId> pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random);
+
+    /// The host of a candidate; nothing when there is none of that id.
+    [[nodiscard]] std::optional<HostId> hostOf(const EndpointId &id) const;
+
+    /// An attempt was sent to the endpoint; each is followed by one ended().
+    void began(const EndpointId &id);
+    void ended(const EndpointId &id, AttemptEvidence evidence, TimePoint now);
+    /// A reply brought back the endpoint's load (running and waiting over slots).
+    void reported(const EndpointId &id, double load, TimePoint now);
+    /// The node beside the endpoint announced that it takes no new calls, or takes them again.
+    void setLeaving(const EndpointId &id, bool leaving);
+    /// The endpoint's process was replaced or its health page says cold: start slowly. A hint only.
+    void setCold(const EndpointId &id, TimePoint now);
+
+    [[nodiscard]] std::size_t ejectedCount(TimePoint now) const;
+
+private:
+    struct Endpoint
+    {
+        Candidate candidate;
+        bool announcedLeaving = false;
+        unsigned inFlight = 0;
+        double reportedLoad = 0;
+        unsigned inFlightAtReport = 0;
+        std::optional<TimePoint> reportedAt;
+        std::optional<TimePoint> coldSince; ///< unset: warm
+        unsigned failuresInRow = 0;
+        unsigned ejections = 0; ///< since the last success
+        std::optional<TimePoint> ejectedUntil;
+    };
+    enum class Tier : std::uint8_t { Zone, Region, Everywhere };
+    using Group = std::vector<const Endpoint *>;
+
+    [[nodiscard]] Tier tierOf(const Endpoint &endpoint) const;
+    [[nodiscard]] Group usable(Tier tier, const std::set<EndpointId> &avoid, TimePoint now) const;
+    [[nodiscard]] Group group(const std::set<EndpointId> &avoid, TimePoint now);
+    [[nodiscard]] double load(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] double score(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] double warmth(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] bool overloaded(const Group &near, bool spilling, TimePoint now) const;
+    void considerEjection(Endpoint &endpoint, TimePoint now);
+
+    ZoneId m_zone;
+    RegionId m_region;
+    ChoiceLimits m_limits;
+    std::map<EndpointId, Endpoint> m_endpoints;
+    bool m_spillsZone = false; ///< farther endpoints of the region are in use as well
+    bool m_spillsRegion = false; ///< other regions are in use as well
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/include/jasminemast/call/retry.h
@@ -0,0 +1,81 @@
+// When another attempt is allowed: only if it cannot double the call, in time, and within the service's budget.
+#pragma once
+
+#include "jasminemast/support/clock.h"
+#include "jasminemast/support/result.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string_view>
+
+namespace jasminemast
+{
+
+/// Why another attempt was made.
+enum class RetryReason : std::uint8_t {
+#define JASMINEMAST_RETRY_REASON(name, label) name,
+#include "jasminemast/call/retryreasons.def"
+#undef JASMINEMAST_RETRY_REASON
+    Count,
+};
+
+/// Why no further attempt was made.
+enum class RetryStop : std::uint8_t {
+#define JASMINEMAST_RETRY_STOP(name, label) name,
+#include "jasminemast/call/retryreasons.def"
+#undef JASMINEMAST_RETRY_STOP
+    Count,
+};
+
+/// The label of a reason in `/metrics`.
+std::string_view label(RetryReason reason);
+std::string_view label(RetryStop stop);
+
+struct RetryLimits
+{
+    double share = 0.1; ///< retries allowed for each first attempt
+    double maxTokens = 100; ///< largest burst of retries
+    double initialTokens = 10;
+    std::uint32_t maxAttempts = 4; ///< of one call, the first included
+    Duration minRemaining = std::chrono::milliseconds(1); ///< time that must be left until the deadline
+};
+
+/// Token bucket of one service: each first attempt earns a share of a retry.
+///
+/// A refusal by a leaving target costs nothing: the endpoint is excluded on the first one, so these cannot pile up.
+class RetryBudget
+{
+public:
+    explicit RetryBudget(const RetryLimits &limits)
+        : m_limits(limits)
+        , m_tokens(limits.initialTokens)
+    {
+    }
+
+    /// A call made its first attempt.
+    void earn();
+
+    /// What a call asks for when an attempt failed.
+    struct Request
+    {
+        RetryReason reason;
+        bool mayRepeat; ///< idempotent, or the attempt was not run
+        std::uint32_t attemptsMade;
+        TimePoint deadline;
+    };
+
+    /// Grants another attempt and pays for it, or says why not.
+    std::optional<RetryStop> refuse(const Request &request, TimePoint now);
+
+    [[nodiscard]] double tokens() const
+    {
+        return m_tokens;
+    }
+
+private:
+    RetryLimits m_limits;
+    double m_tokens; ///< between 0 and maxTokens
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/call/choice.cpp
@@ -0,0 +1,224 @@
+// Two random choices within the nearest group that has capacity.
+#include "jasminemast/call/choice.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace jasminemast
+{
+
+Choice::Choice(ZoneId zone, RegionId region, ChoiceLimits limits)
+    : m_zone(std::move(zone))
+    , m_region(std::move(region))
+    , m_limits(limits)
+{
+}
+
+void Choice::setCandidates(std::vector<Candidate> candidates, TimePoint now)
+{
+    const bool first = m_endpoints.empty();
+    std::map<EndpointId, Endpoint> next;
+    for (Candidate &candidate : candidates) {
+        const EndpointId id = candidate.id;
+        auto known = m_endpoints.extract(id);
+        Endpoint endpoint;
+        if (known.empty()) {
+            // With nothing warm to compare with, all start as equals.
+            endpoint.coldSince = first ? std::nullopt : std::optional(now);
+        } else {
+            endpoint = std::move(known.mapped());
+        }
+        endpoint.candidate = std::move(candidate);
+        next.emplace(id, std::move(endpoint));
+    }
+    m_endpoints = std::move(next);
+}
+
+Choice::Tier Choice::tierOf(const Endpoint &endpoint) const
+{
+    if (endpoint.candidate.zone == m_zone) {
+        return Tier::Zone;
+    }
+    return endpoint.candidate.region == m_region ? Tier::Region : Tier::Everywhere;
+}
+
+Choice::Group Choice::usable(Tier tier, const std::set<EndpointId> &avoid, TimePoint now) const
+{
+    Group result;
+    for (const auto &[id, endpoint] : m_endpoints) {
+        if (tierOf(endpoint) > tier || endpoint.candidate.leaving || endpoint.announcedLeaving) {
+            continue;
+        }
+        if (avoid.count(id) != 0 || (endpoint.ejectedUntil && now < *endpoint.ejectedUntil)) {
+            continue;
+        }
+        result.push_back(&endpoint);
+    }
+    return result;
+}
+
+double Choice::load(const Endpoint &endpoint, TimePoint now) const
+{
+    const double slots = std::max(1U, endpoint.candidate.slots);
+    const double own = endpoint.inFlight / slots;
+    if (!endpoint.reportedAt || now - *endpoint.reportedAt > m_limits.reportLifetime) {
+        return own;
+    }
+    const double since = (static_cast<double>(endpoint.inFlight) - endpoint.inFlightAtReport) / slots;
+    return std::max(own, endpoint.reportedLoad + since);
+}
+
+double Choice::warmth(const Endpoint &endpoint, TimePoint now) const
+{
+    if (!endpoint.coldSince) {
+        return 1;
+    }
+    const double part = std::chrono::duration<double>(now - *endpoint.coldSince) / m_limits.slowStart;
+    return std::clamp(part, m_limits.slowStartFloor, 1.0);
+}
+
+double Choice::score(const Endpoint &endpoint, TimePoint now) const
+{
+    const double slots = std::max(1U, endpoint.candidate.slots);
+    return (load(endpoint, now) + 1 / slots) / warmth(endpoint, now);
+}
+
+bool Choice::overloaded(const Group &near, bool spilling, TimePoint now) const
+{
+    if (near.empty()) {
+        return true;
+    }
+    double sum = 0;
+    for (const Endpoint *endpoint : near) {
+        sum += load(*endpoint, now);
+    }
+    return sum / static_cast<double>(near.size()) >= (spilling ? m_limits.returnAt : m_limits.spillAt);
+}
+
+Choice::Group Choice::group(const std::set<EndpointId> &avoid, TimePoint now)
+{
+    Group zone = usable(Tier::Zone, avoid, now);
+    const bool spillsZone = overloaded(zone, m_spillsZone, now);
+    Group region = spillsZone ? usable(Tier::Region, avoid, now) : Group {};
+    const bool spillsRegion = spillsZone && overloaded(region, m_spillsRegion, now);
+    // A retry that avoids an endpoint sees less than the zone has, so it says nothing about the next call.
+    if (avoid.empty()) {
+        m_spillsZone = spillsZone;
+        m_spillsRegion = spillsRegion;
+    }
+    if (!spillsZone) {
+        return zone;
+    }
+    return spillsRegion ? usable(Tier::Everywhere, avoid, now) : region;
+}
+
+std::optional<EndpointId> Choice::pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random)
+{
+    Group near = group(avoid, now);
+    if (near.empty() && !avoid.empty()) {
+        near = group({}, now);
+    }
+    if (near.empty()) {
+        return std::nullopt;
+    }
+    const std::size_t first = random.below(near.size());
+    if (near.size() == 1) {
+        return near[first]->candidate.id;
+    }
+    const std::size_t second = (first + 1 + random.below(near.size() - 1)) % near.size();
+    const bool firstIsLighter = score(*near[first], now) <= score(*near[second], now);
+    return near[firstIsLighter ? first : second]->candidate.id;
+}
+
+std::optional<HostId> Choice::hostOf(const EndpointId &id) const
+{
+    const auto found = m_endpoints.find(id);
+    return found == m_endpoints.end() ? std::nullopt : std::optional(found->second.candidate.host);
+}
+
+void Choice::began(const EndpointId &id)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        ++found->second.inFlight;
+    }
+}
+
+void Choice::ended(const EndpointId &id, AttemptEvidence evidence, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    // An endpoint that a ticket removed and added again begins at zero while older attempts still end.
+    endpoint.inFlight -= endpoint.inFlight > 0 ? 1 : 0;
+    switch (evidence) {
+    case AttemptEvidence::Success:
+        endpoint.failuresInRow = 0;
+        endpoint.ejections = 0;
+        endpoint.ejectedUntil.reset();
+        break;
+    case AttemptEvidence::Failure:
+        ++endpoint.failuresInRow;
+        considerEjection(endpoint, now);
+        break;
+    case AttemptEvidence::Neutral:
+        break;
+    }
+}
+
+void Choice::considerEjection(Endpoint &endpoint, TimePoint now)
+{
+    const bool ejected = endpoint.ejectedUntil && now < *endpoint.ejectedUntil;
+    // After its first ejection an endpoint is on probation: one more failure is enough.
+    const unsigned needed = endpoint.ejections > 0 ? 1 : m_limits.failuresToEject;
+    if (ejected || endpoint.failuresInRow < needed) {
+        return;
+    }
+    const double allowed = std::floor(m_limits.maxEjectedShare * static_cast<double>(m_endpoints.size()));
+    if (static_cast<double>(ejectedCount(now) + 1) > allowed) {
+        return;
+    }
+    constexpr unsigned MaxDoublings = 10;
+    const Duration length = m_limits.ejectFor * (1U << std::min(endpoint.ejections, MaxDoublings));
+    endpoint.ejectedUntil = now + std::min(length, m_limits.ejectAtMost);
+    ++endpoint.ejections;
+}
+
+std::size_t Choice::ejectedCount(TimePoint now) const
+{
+    return static_cast<std::size_t>(std::count_if(m_endpoints.begin(), m_endpoints.end(), [now](const auto &item) {
+        return item.second.ejectedUntil && now < *item.second.ejectedUntil;
+    }));
+}
+
+void Choice::reported(const EndpointId &id, double load, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end()) {
+        return;
+    }
+    Endpoint &endpoint = found->second;
+    endpoint.reportedLoad = load;
+    endpoint.inFlightAtReport = endpoint.inFlight;
+    endpoint.reportedAt = now;
+}
+
+void Choice::setLeaving(const EndpointId &id, bool leaving)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        found->second.announcedLeaving = leaving;
+    }
+}
+
+void Choice::setCold(const EndpointId &id, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found != m_endpoints.end()) {
+        found->second.coldSince = now;
+    }
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/call/fence.cpp
@@ -0,0 +1,219 @@
+// The table of attempts, its floors for late messages and its bounds.
+#include "jasminemast/call/fence.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+std::size_t sizeOf(const KeptAnswer &answer)
+{
+    return answer.headers.size() + answer.body.size();
+}
+
+} // namespace
+
+bool isNotRun(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::NoRoute:
+    case ResultCode::NoEndpoint:
+    case ResultCode::TargetUnreachable:
+    case ResultCode::NotReady:
+    case ResultCode::SlotsTaken:
+    case ResultCode::StartTooLate:
+    case ResultCode::TargetLeaving:
+    case ResultCode::AttemptFenced:
+    case ResultCode::EndpointElsewhere:
+    case ResultCode::CallWithdrawn:
+    case ResultCode::NodeUnreachable:
+        return true;
+    default:
+        return false;
+    }
+}
+
+FenceTable::FenceTable(Incarnation self, FenceLimits limits)
+    : m_self(self)
+    , m_limits(limits)
+{
+}
+
+FenceTable::Peer &FenceTable::meetPeer(const CallId &call, std::uint64_t forgotten, TimePoint now)
+{
+    auto found = m_peers.find(call.node);
+    if (found == m_peers.end()) {
+        if (m_peers.size() >= m_limits.maxPeers) {
+            dropOldestPeer();
+        }
+        found = m_peers.emplace(call.node, Peer {}).first;
+    }
+    Peer &peer = found->second;
+    if (peer.incarnation < call.incarnation) {
+        peer = Peer {call.incarnation, LinkGeneration(0), m_droppedPeers ? forgotten : 0, now};
+    }
+    peer.lastSeen = now;
+    return peer;
+}
+
+void FenceTable::dropOldestPeer()
+{
+    const auto oldest = std::min_element(m_peers.begin(), m_peers.end(), [](const auto &left, const auto &right) {
+        return left.second.lastSeen < right.second.lastSeen;
+    });
+    m_peers.erase(oldest);
+    m_droppedPeers = true;
+}
+
+OpenVerdict FenceTable::open(const OpenRequest &request, TimePoint deadline, TimePoint now)
+{
+    const auto known = m_attempts.find(request.attempt);
+    if (known != m_attempts.end()) {
+        return std::holds_alternative<Refused>(known->second.phase) ? OpenVerdict::Refused : OpenVerdict::Duplicate;
+    }
+    if (request.target != m_self) {
+        return OpenVerdict::Unknown;
+    }
+    const std::uint64_t sequence = request.attempt.call.sequence;
+    const Peer &peer = meetPeer(request.attempt.call, sequence - 1, now);
+    if (request.attempt.call.incarnation < peer.incarnation) {
+        return OpenVerdict::Unknown;
+    }
+    if (sequence <= peer.forgottenSequence) {
+        return OpenVerdict::Unknown;
+    }
+    if (request.generation < peer.lowestGeneration) {
+        return OpenVerdict::Fenced;
+    }
+    m_attempts.emplace(request.attempt, Entry {Pending {}, deadline + m_limits.margin});
+    return OpenVerdict::Fresh;
+}
+
+void FenceTable::started(const AttemptId &attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    assert(found != m_attempts.end() && std::holds_alternative<Pending>(found->second.phase)
+           && "only an admitted attempt that was never started may start");
+    found->second.phase = Running {};
+}
+
+void FenceTable::refused(const AttemptId &attempt, ResultCode code, TimePoint now)
+{
+    assert(isNotRun(code) && "a refusal must say that the request was not run");
+    finish(attempt, Refused {code}, now);
+}
+
+void FenceTable::answered(const AttemptId &attempt, std::shared_ptr<const KeptAnswer> answer, TimePoint now)
+{
+    if (answer && sizeOf(*answer) > m_limits.maxKeptAnswer) {
+        answer.reset();
+    }
+    if (answer) {
+        keep(attempt, *answer);
+    }
+    finish(attempt, Done {std::move(answer)}, now);
+}
+
+void FenceTable::lost(const AttemptId &attempt, TimePoint now)
+{
+    finish(attempt, Done {nullptr}, now);
+}
+
+FenceAnswer FenceTable::fence(const FenceRequest &request, TimePoint now)
+{
+    if (request.target != m_self) {
+        return {FenceStatus::Unknown, nullptr};
+    }
+    const std::uint64_t sequence = request.attempt.call.sequence;
+    Peer &peer = meetPeer(request.attempt.call, sequence, now);
+    if (request.attempt.call.incarnation < peer.incarnation) {
+        return {FenceStatus::Unknown, nullptr};
+    }
+    peer.lowestGeneration = std::max(peer.lowestGeneration, request.generation);
+    const auto found = m_attempts.find(request.attempt);
+    if (found == m_attempts.end()) {
+        return {sequence <= peer.forgottenSequence ? FenceStatus::Unknown : FenceStatus::NotRun, nullptr};
+    }
+    const Phase &phase = found->second.phase;
+    if (std::holds_alternative<Refused>(phase)) {
+        return {FenceStatus::NotRun, nullptr};
+    }
+    const auto *done = std::get_if<Done>(&phase);
+    if (done == nullptr) {
+        return {FenceStatus::Running, nullptr};
+    }
+    return done->answer ? FenceAnswer {FenceStatus::Done, done->answer} : FenceAnswer {FenceStatus::Unknown, nullptr};
+}
+
+std::optional<ResultCode> FenceTable::refusalOf(const AttemptId &attempt) const
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end()) {
+        return std::nullopt;
+    }
+    const auto *refusal = std::get_if<Refused>(&found->second.phase);
+    return refusal == nullptr ? std::nullopt : std::optional(refusal->code);
+}
+
+void FenceTable::finish(const AttemptId &attempt, Phase phase, TimePoint now)
+{
+    const auto found = m_attempts.find(attempt);
+    assert(found != m_attempts.end() && "only a recorded attempt can finish");
+    Entry &entry = found->second;
+    assert(!std::holds_alternative<Refused>(entry.phase) && !std::holds_alternative<Done>(entry.phase)
+           && "an attempt finishes once");
+    entry.phase = std::move(phase);
+    entry.forgetAt = std::max(entry.forgetAt, now + m_limits.margin);
+    m_finished.emplace(entry.forgetAt, attempt);
+    while (m_finished.size() > m_limits.maxAttempts) {
+        forget(m_finished.begin()->second);
+    }
+}
+
+void FenceTable::expire(TimePoint now)
+{
+    while (!m_finished.empty() && m_finished.begin()->first <= now) {
+        forget(m_finished.begin()->second);
+    }
+}
+
+void FenceTable::forget(const AttemptId &attempt)
+{
+    const AttemptId id = attempt;
+    const auto found = m_attempts.find(id);
+    m_finished.erase({found->second.forgetAt, id});
+    dropAnswer(id);
+    m_attempts.erase(found);
+    const auto peer = m_peers.find(id.call.node);
+    if (peer != m_peers.end() && peer->second.incarnation == id.call.incarnation) {
+        peer->second.forgottenSequence = std::max(peer->second.forgottenSequence, id.call.sequence);
+    }
+}
+
+void FenceTable::keep(const AttemptId &attempt, const KeptAnswer &answer)
+{
+    m_kept.push_back(attempt);
+    m_keptBytes += sizeOf(answer);
+    while (m_keptBytes > m_limits.maxKeptBytes && m_kept.front() != attempt) {
+        dropAnswer(AttemptId(m_kept.front()));
+    }
+}
+
+void FenceTable::dropAnswer(const AttemptId &attempt)
+{
+    Entry &entry = m_attempts.at(attempt);
+    auto *done = std::get_if<Done>(&entry.phase);
+    if (done == nullptr || !done->answer) {
+        return;
+    }
+    m_keptBytes -= sizeOf(*done->answer);
+    done->answer.reset();
+    const auto place = std::find(m_kept.begin(), m_kept.end(), attempt);
+    m_kept.erase(place);
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/call/outcome.cpp
@@ -0,0 +1,225 @@
+// Transitions of the state machine of one call.
+#include "jasminemast/call/outcome.h"
+
+#include <cassert>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+RetryReason reasonFor(ResultCode refusal)
+{
+    switch (refusal) {
+    case ResultCode::TargetLeaving:
+        return RetryReason::Leaving;
+    case ResultCode::TargetUnreachable:
+        return RetryReason::TargetDown;
+    case ResultCode::EndpointElsewhere:
+    case ResultCode::NotReady:
+        return RetryReason::Misrouted;
+    case ResultCode::AttemptFenced:
+        return RetryReason::Fenced;
+    default:
+        return RetryReason::Overloaded;
+    }
+}
+
+} // namespace
+
+CallMachine::CallMachine(bool repeatable, TimePoint deadline)
+    : m_repeatable(repeatable)
+    , m_deadline(deadline)
+{
+}
+
+CallActions CallMachine::start()
+{
+    return {callaction::Choose {std::nullopt}};
+}
+
+CallActions CallMachine::step(const CallEvent &event, RetryBudget &budget, TimePoint now)
+{
+    if (finished()) {
+        return {};
+    }
+    return std::visit([&](const auto &concrete) { return on(concrete, budget, now); }, event);
+}
+
+bool CallMachine::awaits(std::uint32_t attempt) const
+{
+    return attempt == m_attempt && (m_phase == Phase::Waiting || m_phase == Phase::Fencing);
+}
+
+Outcome CallMachine::unanswered() const
+{
+    return m_mayHaveRun ? Outcome::Unknown : Outcome::NotRun;
+}
+
+CallActions CallMachine::abandon(ResultCode code)
+{
+    if (m_phase == Phase::Choosing) {
+        return finish(unanswered(), code);
+    }
+    CallActions actions {callaction::SendCancel {m_attempt}};
+    const CallActions end = finish(Outcome::Unknown, code);
+    actions.insert(actions.end(), end.begin(), end.end());
+    return actions;
+}
+
+CallActions CallMachine::finish(Outcome outcome, ResultCode code, std::optional<RetryStop> stop)
+{
+    m_phase = Phase::Finished;
+    return {callaction::Finish {outcome, code, stop}};
+}
+
+CallActions CallMachine::retryOrFinish(RetryReason reason, bool notRun, ResultCode code, RetryBudget &budget,
+                                       TimePoint now)
+{
+    const RetryBudget::Request request {reason, notRun || m_repeatable, m_attempt, m_deadline};
+    m_mayHaveRun = m_mayHaveRun || !notRun;
+    const std::optional<RetryStop> stop = budget.refuse(request, now);
+    if (stop) {
+        return finish(unanswered(), code, stop);
+    }
+    m_phase = Phase::Choosing;
+    return {callaction::Choose {reason}};
+}
+
+CallActions CallMachine::on(const callevent::EndpointChosen & /*event*/, RetryBudget &budget, TimePoint now)
+{
+    if (m_phase != Phase::Choosing) {
+        return {};
+    }
+    if (now >= m_deadline) {
+        return finish(unanswered(), ResultCode::DeadlineExceeded);
+    }
+    if (m_attempt == 0) {
+        budget.earn();
+    }
+    ++m_attempt;
+    m_phase = Phase::Waiting;
+    return {callaction::SendOpen {m_attempt}};
+}
+
+CallActions CallMachine::on(const callevent::NoneUsable &event, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    if (m_phase != Phase::Choosing) {
+        return {};
+    }
+    return finish(unanswered(), event.code);
+}
+
+CallActions CallMachine::on(const callevent::NotSent &event, RetryBudget &budget, TimePoint now)
+{
+    if (event.attempt != m_attempt || m_phase != Phase::Waiting) {
+        return {};
+    }
+    return retryOrFinish(RetryReason::NotSent, true, ResultCode::NodeUnreachable, budget, now);
+}
+
+CallActions CallMachine::on(const callevent::Refused &event, RetryBudget &budget, TimePoint now)
+{
+    assert(isNotRun(event.code) && "a refusal must say that the request was not run");
+    if (!awaits(event.attempt)) {
+        return {};
+    }
+    return retryOrFinish(reasonFor(event.code), true, event.code, budget, now);
+}
+
+CallActions CallMachine::on(const callevent::Lost &event, RetryBudget &budget, TimePoint now)
+{
+    if (event.attempt == m_attempt && m_phase == Phase::Answering) {
+        return finish(Outcome::Unknown, ResultCode::AnswerCut);
+    }
+    if (!awaits(event.attempt)) {
+        return {};
+    }
+    return retryOrFinish(RetryReason::AnswerLost, false, event.code, budget, now);
+}
+
+CallActions CallMachine::on(const callevent::AnswerBegan &event, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    if (awaits(event.attempt)) {
+        m_phase = Phase::Answering;
+    }
+    return {};
+}
+
+CallActions CallMachine::on(const callevent::AnswerEnded &event, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    if (event.attempt != m_attempt || m_phase != Phase::Answering) {
+        return {};
+    }
+    return finish(Outcome::Answered, ResultCode::Ok);
+}
+
+CallActions CallMachine::on(const callevent::LinkLost &event, RetryBudget &budget, TimePoint now)
+{
+    if (event.attempt != m_attempt) {
+        return {};
+    }
+    if (m_phase == Phase::Answering) {
+        return finish(Outcome::Unknown, ResultCode::AnswerCut);
+    }
+    if (!awaits(event.attempt)) {
+        return {};
+    }
+    if (m_repeatable) {
+        return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+    }
+    m_phase = Phase::Fencing;
+    return {callaction::SendFence {m_attempt}};
+}
+
+CallActions CallMachine::on(const callevent::LinkBack &event, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    if (event.attempt != m_attempt || m_phase != Phase::Fencing) {
+        return {};
+    }
+    return {callaction::SendFence {m_attempt}};
+}
+
+CallActions CallMachine::on(const callevent::PeerDead &event, RetryBudget &budget, TimePoint now)
+{
+    if (event.attempt == m_attempt && m_phase == Phase::Answering) {
+        return finish(Outcome::Unknown, ResultCode::AnswerCut);
+    }
+    if (!awaits(event.attempt)) {
+        return {};
+    }
+    return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+}
+
+CallActions CallMachine::on(const callevent::FenceReplied &event, RetryBudget &budget, TimePoint now)
+{
+    if (event.attempt != m_attempt || m_phase != Phase::Fencing) {
+        return {};
+    }
+    switch (event.status) {
+    case FenceStatus::NotRun:
+        return retryOrFinish(RetryReason::Fenced, true, ResultCode::AttemptFenced, budget, now);
+    case FenceStatus::Running:
+        m_phase = Phase::Waiting;
+        return {};
+    case FenceStatus::Done:
+        m_phase = Phase::Waiting;
+        return {};
+    case FenceStatus::Unknown:
+        break;
+    }
+    return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+}
+
+CallActions CallMachine::on(const callevent::DeadlinePassed & /*event*/, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    return abandon(ResultCode::DeadlineExceeded);
+}
+
+CallActions CallMachine::on(const callevent::CallerLeft & /*event*/, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    return abandon(ResultCode::CallerGone);
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/call/target.cpp
@@ -0,0 +1,258 @@
+// Admission, fence and draining joined for the endpoints of one host.
+#include "jasminemast/call/target.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace jasminemast
+{
+
+TargetCore::TargetCore(Incarnation self, const TargetLimits &limits)
+    : m_limits(limits)
+    , m_fence(self, limits.fence)
+{
+}
+
+TargetActions TargetCore::setEndpoints(const std::vector<LocalEndpoint> &endpoints, TimePoint now)
+{
+    TargetActions actions;
+    m_served.clear();
+    for (const LocalEndpoint &endpoint : endpoints) {
+        m_served.emplace(endpoint.id, true);
+        AdmissionLimits limits = m_limits.admission;
+        limits.slots = endpoint.slots;
+        auto [place, added] = m_endpoints.try_emplace(endpoint.id, Endpoint {Admission(limits), Drain(m_limits.drain)});
+        Endpoint &known = place->second;
+        if (added) {
+            for (const DrainReason reason : m_hostReasons) {
+                announce(endpoint.id, known.drain.set(reason, true, now), actions);
+            }
+        }
+        announce(endpoint.id, known.drain.set(DrainReason::Ticket, endpoint.draining, now), actions);
+        apply(known.admission.resize(endpoint.slots, now), actions, now);
+    }
+    std::erase_if(m_endpoints, [this](const auto &item) {
+        const Admission &admission = item.second.admission;
+        return m_served.count(item.first) == 0 && admission.running() == 0 && admission.waiting() == 0;
+    });
+    return actions;
+}
+
+TargetActions TargetCore::onOpen(const OpenRequest &request, Duration inputAge, TimePoint now)
+{
+    const TimePoint deadline = now + request.remaining - inputAge;
+    const AttemptId &attempt = request.attempt;
+    switch (m_fence.open(request, deadline, now)) {
+    case OpenVerdict::Fresh:
+        return admit(request, deadline, now);
+    case OpenVerdict::Duplicate:
+        return {};
+    case OpenVerdict::Refused:
+        return {targetaction::Refuse {attempt, *m_fence.refusalOf(attempt)}};
+    case OpenVerdict::Fenced:
+        m_refusals.add(ResultCode::AttemptFenced);
+        return {targetaction::Refuse {attempt, ResultCode::AttemptFenced}};
+    case OpenVerdict::Unknown:
+        break;
+    }
+    return {targetaction::Fail {attempt, ResultCode::AttemptTooOld}};
+}
+
+TargetActions TargetCore::admit(const OpenRequest &request, TimePoint deadline, TimePoint now)
+{
+    TargetActions actions;
+    const AttemptId &attempt = request.attempt;
+    if (m_served.count(request.endpoint) == 0) {
+        refuse(attempt, ResultCode::EndpointElsewhere, actions, now);
+        return actions;
+    }
+    Endpoint &endpoint = m_endpoints.at(request.endpoint);
+    if (endpoint.drain.leaving()) {
+        refuse(attempt, ResultCode::TargetLeaving, actions, now);
+        return actions;
+    }
+    m_accepted.emplace(attempt, Accepted {request.endpoint, now, deadline, request.repeatable, std::nullopt});
+    apply(endpoint.admission.offer(attempt, deadline, now), actions, now);
+    return actions;
+}
+
+void TargetCore::apply(const AdmissionActions &decisions, TargetActions &actions, TimePoint now)
+{
+    for (const AdmissionAction &decision : decisions) {
+        if (const auto *begin = std::get_if<AdmissionStart>(&decision)) {
+            start(begin->attempt, actions, now);
+            continue;
+        }
+        const auto &refusal = std::get<AdmissionRefuse>(decision);
+        refuse(refusal.attempt, refusal.code, actions, now);
+    }
+}
+
+void TargetCore::start(const AttemptId &attempt, TargetActions &actions, TimePoint now)
+{
+    Accepted &accepted = m_accepted.at(attempt);
+    accepted.startedAt = now;
+    m_waitingTimes.add(now - accepted.arrived);
+    m_fence.started(attempt);
+    actions.emplace_back(targetaction::Start {attempt, accepted.endpoint, accepted.deadline, accepted.repeatable});
+}
+
+void TargetCore::refuse(const AttemptId &attempt, ResultCode code, TargetActions &actions, TimePoint now)
+{
+    m_accepted.erase(attempt);
+    m_fence.refused(attempt, code, now);
+    m_refusals.add(code);
+    actions.emplace_back(targetaction::Refuse {attempt, code});
+}
+
+bool TargetCore::runs(const AttemptId &attempt) const
+{
+    const auto found = m_accepted.find(attempt);
+    return found != m_accepted.end() && found->second.startedAt;
+}
+
+void TargetCore::release(const AttemptId &attempt, TargetActions &actions, TimePoint now)
+{
+    const Accepted accepted = m_accepted.at(attempt);
+    m_accepted.erase(attempt);
+    Endpoint &endpoint = m_endpoints.at(accepted.endpoint);
+    apply(endpoint.admission.release(attempt, now - *accepted.startedAt, now), actions, now);
+    if (m_served.count(accepted.endpoint) == 0 && endpoint.admission.running() + endpoint.admission.waiting() == 0) {
+        m_endpoints.erase(accepted.endpoint);
+    }
+}
+
+bool TargetCore::withdraw(const AttemptId &attempt, ResultCode code, TimePoint now)
+{
+    const auto found = m_accepted.find(attempt);
+    if (found == m_accepted.end() || found->second.startedAt) {
+        return false;
+    }
+    const bool waited = m_endpoints.at(found->second.endpoint).admission.withdraw(attempt);
+    assert(waited && "an accepted attempt that has not started waits in its endpoint's queue");
+    static_cast<void>(waited);
+    m_accepted.erase(found);
+    m_fence.refused(attempt, code, now);
+    m_refusals.add(code);
+    return true;
+}
+
+TargetActions TargetCore::onFence(const FenceRequest &request, TimePoint now)
+{
+    withdraw(request.attempt, ResultCode::AttemptFenced, now);
+    return {targetaction::ReplyToFence {request.attempt, m_fence.fence(request, now)}};
+}
+
+TargetActions TargetCore::onCancel(const AttemptId &attempt, TimePoint now)
+{
+    if (withdraw(attempt, ResultCode::CallWithdrawn, now)) {
+        return {targetaction::Refuse {attempt, ResultCode::CallWithdrawn}};
+    }
+    if (!runs(attempt)) {
+        return {};
+    }
+    TargetActions actions {targetaction::Abort {attempt}};
+    m_fence.lost(attempt, now);
+    release(attempt, actions, now);
+    return actions;
+}
+
+TargetActions TargetCore::onAnswered(const AttemptId &attempt, std::shared_ptr<const KeptAnswer> answer, TimePoint now)
+{
+    TargetActions actions;
+    if (!runs(attempt)) {
+        return actions;
+    }
+    m_fence.answered(attempt, std::move(answer), now);
+    release(attempt, actions, now);
+    return actions;
+}
+
+TargetActions TargetCore::onNotSent(const AttemptId &attempt, TimePoint now)
+{
+    TargetActions actions;
+    if (!runs(attempt)) {
+        return actions;
+    }
+    release(attempt, actions, now);
+    refuse(attempt, ResultCode::TargetUnreachable, actions, now);
+    return actions;
+}
+
+TargetActions TargetCore::onLost(const AttemptId &attempt, ResultCode code, TimePoint now)
+{
+    if (!runs(attempt)) {
+        return {};
+    }
+    TargetActions actions {targetaction::Fail {attempt, code}};
+    m_fence.lost(attempt, now);
+    release(attempt, actions, now);
+    return actions;
+}
+
+TargetActions TargetCore::setLeaving(DrainReason reason, bool holds, TimePoint now)
+{
+    TargetActions actions;
+    if (holds) {
+        m_hostReasons.insert(reason);
+    } else if (reason != DrainReason::Signal) {
+        m_hostReasons.erase(reason);
+    }
+    for (auto &[id, endpoint] : m_endpoints) {
+        announce(id, endpoint.drain.set(reason, holds, now), actions);
+    }
+    return actions;
+}
+
+TargetActions TargetCore::onHealth(const EndpointId &endpoint, bool draining, TimePoint now)
+{
+    TargetActions actions;
+    const auto found = m_endpoints.find(endpoint);
+    if (found != m_endpoints.end()) {
+        announce(endpoint, found->second.drain.onHealth(draining, now), actions);
+    }
+    return actions;
+}
+
+void TargetCore::announce(const EndpointId &id, DrainAction what, TargetActions &actions)
+{
+    if (what != DrainAction::None) {
+        actions.emplace_back(targetaction::Announce {id, what == DrainAction::AnnounceLeaving});
+    }
+}
+
+TargetActions TargetCore::tick(TimePoint now)
+{
+    TargetActions actions;
+    for (auto &[id, endpoint] : m_endpoints) {
+        apply(endpoint.admission.expire(now), actions, now);
+        announce(id, endpoint.drain.tick(now), actions);
+    }
+    std::vector<AttemptId> overdue;
+    for (const auto &[attempt, accepted] : m_accepted) {
+        if (accepted.startedAt && accepted.deadline <= now) {
+            overdue.push_back(attempt);
+        }
+    }
+    for (const AttemptId &attempt : overdue) {
+        const TargetActions lost = onLost(attempt, ResultCode::DeadlineExceeded, now);
+        actions.emplace_back(targetaction::Abort {attempt});
+        actions.insert(actions.end(), lost.begin(), lost.end());
+    }
+    m_fence.expire(now);
+    return actions;
+}
+
+double TargetCore::load(const EndpointId &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found == m_endpoints.end() ? 0 : found->second.admission.load();
+}
+
+bool TargetCore::leaving(const EndpointId &endpoint) const
+{
+    const auto found = m_endpoints.find(endpoint);
+    return found != m_endpoints.end() && found->second.drain.leaving();
+}
+
+} // namespace jasminemast
