--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -21,6 +21,7 @@
     double returnAt = 0.75; ///< mean load of the near endpoints at which they are enough again
     Duration slowStart = std::chrono::seconds(5); ///< a cold endpoint reaches its full share in this time
     double slowStartFloor = 0.1; ///< share of a cold endpoint at first
+    Duration leavingLifetime = std::chrono::seconds(5); ///< age at which an announcement to leave is forgotten
     Duration reportLifetime = std::chrono::seconds(1); ///< age at which a load report is forgotten
     unsigned failuresToEject = 5; ///< failures in a row
     Duration ejectFor = std::chrono::seconds(1); ///< first ejection; doubled each time
@@ -68,10 +69,11 @@
     void ended(const EndpointId &id, AttemptEvidence evidence, TimePoint now);
     /// A reply brought back the endpoint's load (running and waiting over slots).
     void reported(const EndpointId &id, double load, TimePoint now);
-    /// The node beside the endpoint announced that it takes no new calls, or takes them again.
-    void setLeaving(const EndpointId &id, bool leaving);
-    /// The endpoint's process was replaced or its health page says cold: start slowly. A hint only.
-    void setCold(const EndpointId &id, TimePoint now);
+    /// The node beside the endpoint announced that it takes no new calls, or takes them again. The announcement is
+    /// repeated while it holds, so a lost one is made good and a forgotten one costs one refused attempt.
+    void setLeaving(const EndpointId &id, bool leaving, TimePoint now);
+    /// The process on \p host was replaced: what was known of its endpoints is forgotten, and they start slowly.
+    void setRestarted(const HostId &host, TimePoint now);
 
     [[nodiscard]] std::size_t ejectedCount(TimePoint now) const;
 
@@ -79,7 +81,7 @@
     struct Endpoint
     {
         Candidate candidate;
-        bool announcedLeaving = false;
+        std::optional<TimePoint> leavingUntil; ///< by announcement
         unsigned inFlight = 0;
         double reportedLoad = 0;
         unsigned inFlightAtReport = 0;
--- a/include/jasminemast/call/fence.h
+++ b/include/jasminemast/call/fence.h
@@ -28,7 +28,9 @@
     std::size_t maxAttempts = 65'536; ///< remembered attempts, running ones not counted
     std::size_t maxKeptBytes = 8U << 20U; ///< bodies and headers of all kept answers
     std::size_t maxKeptAnswer = 64U << 10U; ///< bodies and headers of one kept answer
-    std::size_t maxPeers = 8'192; ///< entry hosts remembered
+    std::size_t maxPeers = 32'768; ///< entry hosts remembered
+    /// For how long a silent entry host is remembered at least. No connection delivers a message that is older.
+    Duration peerMemory = std::chrono::hours(24);
     Duration margin = std::chrono::seconds(10); ///< for how long after its deadline a finished attempt is remembered
 };
 
@@ -116,14 +118,13 @@
         TimePoint lastSeen;
     };
 
-    /// The record of the sender, made anew when needed with \p forgotten as its highest forgotten sequence in case an
-    /// earlier record of it was dropped.
-    Peer &meetPeer(const CallId &call, std::uint64_t forgotten, TimePoint now);
+    /// The record of the sender, made when there is none; null when the table of senders is full.
+    Peer *meetPeer(const CallId &call, TimePoint now);
+    bool makeRoomForPeer(TimePoint now);
     void finish(const AttemptId &attempt, Phase phase, TimePoint now);
     void forget(const AttemptId &attempt);
     void keep(const AttemptId &attempt, const KeptAnswer &answer);
     void dropAnswer(const AttemptId &attempt);
-    void dropOldestPeer();
 
     Incarnation m_self;
     FenceLimits m_limits;
@@ -132,7 +133,6 @@
     std::set<std::pair<TimePoint, AttemptId>> m_finished; ///< exactly the Refused and Done entries, by forgetAt
     std::list<AttemptId> m_kept; ///< attempts with a kept answer, oldest first
     std::size_t m_keptBytes = 0; ///< bytes of all answers named in m_kept
-    bool m_droppedPeers = false; ///< once true, an entry host without a record may have had one
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -46,7 +46,7 @@
     EndpointId endpoint;
     Incarnation target; ///< process that the sender means to reach
     LinkGeneration generation; ///< link that carries this message
-    Milliseconds remaining {0}; ///< time left until the deadline when the message was sent
+    Microseconds remaining {0}; ///< time left until the deadline when the message was sent
     bool repeatable = false;
 };
 
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -46,7 +46,8 @@
 {
     Group result;
     for (const auto &[id, endpoint] : m_endpoints) {
-        if (tierOf(endpoint) > tier || endpoint.candidate.leaving || endpoint.announcedLeaving) {
+        const bool announced = endpoint.leavingUntil && now < *endpoint.leavingUntil;
+        if (tierOf(endpoint) > tier || endpoint.candidate.leaving || announced) {
             continue;
         }
         if (avoid.count(id) != 0 || (endpoint.ejectedUntil && now < *endpoint.ejectedUntil)) {
@@ -205,19 +206,23 @@
     endpoint.reportedAt = now;
 }
 
-void Choice::setLeaving(const EndpointId &id, bool leaving)
+void Choice::setLeaving(const EndpointId &id, bool leaving, TimePoint now)
 {
     const auto found = m_endpoints.find(id);
     if (found != m_endpoints.end()) {
-        found->second.announcedLeaving = leaving;
+        found->second.leavingUntil = leaving ? std::optional(now + m_limits.leavingLifetime) : std::nullopt;
     }
 }
 
-void Choice::setCold(const EndpointId &id, TimePoint now)
+void Choice::setRestarted(const HostId &host, TimePoint now)
 {
-    const auto found = m_endpoints.find(id);
-    if (found != m_endpoints.end()) {
-        found->second.coldSince = now;
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.candidate.host != host) {
+            continue;
+        }
+        endpoint.leavingUntil.reset();
+        endpoint.reportedAt.reset();
+        endpoint.coldSince = now;
     }
 }
 
--- /dev/null
+++ b/lib/call/entry.cpp
@@ -0,0 +1,380 @@
+// Calls, links and choices of an entry node joined.
+#include "jasminemast/call/entry.h"
+
+#include <algorithm>
+#include <type_traits>
+
+namespace jasminemast
+{
+
+EntryCore::EntryCore(EntryPlace place, const EntryLimits &limits, std::uint64_t seed)
+    : m_place(std::move(place))
+    , m_limits(limits)
+    , m_random(seed)
+{
+}
+
+void EntryCore::setServices(std::map<ServiceId, std::vector<Candidate>> services, TimePoint now)
+{
+    std::erase_if(m_services, [&services](const auto &item) { return services.count(item.first) == 0; });
+    for (auto &[id, candidates] : services) {
+        auto [place, added] = m_services.try_emplace(
+            id, Service {Choice(m_place.zone, m_place.region, m_limits.choice), RetryBudget(m_limits.retry)});
+        place->second.choice.setCandidates(std::move(candidates), now);
+    }
+}
+
+EntryCore::Begun EntryCore::begin(const CallSpec &spec, TimePoint now)
+{
+    const CallId id {m_place.host, m_place.incarnation, ++m_lastSequence};
+    CallMachine machine(spec.repeatable, spec.deadline);
+    const CallActions first = machine.start();
+    m_calls.emplace(id, Call {spec, machine, {}, ResultCode::NoEndpoint, {}});
+    m_deadlines.emplace(spec.deadline, id);
+    EntryActions actions;
+    perform(id, first, actions, now);
+    return {id, std::move(actions)};
+}
+
+AttemptId EntryCore::attemptId(const CallId &id, const Call &call) const
+{
+    return {id, call.machine.attempt()};
+}
+
+bool EntryCore::awaits(const AttemptId &attempt) const
+{
+    const auto found = m_calls.find(attempt.call);
+    return found != m_calls.end() && found->second.attempt.open && found->second.machine.attempt() == attempt.number;
+}
+
+void EntryCore::drive(const CallId &id, const CallEvent &event, AttemptEvidence evidence, EntryActions &actions,
+                      TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return;
+    }
+    Call &call = found->second;
+    const auto service = m_services.find(call.spec.service);
+    // A service that a ticket removed meanwhile grants no further attempts.
+    RetryBudget none(RetryLimits {0, 0, 0, m_limits.retry.maxAttempts, m_limits.retry.minRemaining});
+    RetryBudget &budget = service == m_services.end() ? none : service->second.budget;
+    const CallActions steps = call.machine.step(event, budget, now);
+    for (const CallAction &step : steps) {
+        if (std::holds_alternative<callaction::Choose>(step) || std::holds_alternative<callaction::Finish>(step)) {
+            closeAttempt(call, evidence, now);
+        }
+    }
+    perform(id, steps, actions, now);
+}
+
+void EntryCore::closeAttempt(Call &call, AttemptEvidence evidence, TimePoint now)
+{
+    if (!call.attempt.open) {
+        return;
+    }
+    call.attempt.open = false;
+    call.attempt.fenceWaits = false;
+    call.avoid.insert(call.attempt.endpoint);
+    const auto service = m_services.find(call.spec.service);
+    if (service != m_services.end()) {
+        service->second.choice.ended(call.attempt.endpoint, evidence, now);
+    }
+}
+
+void EntryCore::perform(const CallId &id, const CallActions &steps, EntryActions &actions, TimePoint now)
+{
+    for (const CallAction &step : steps) {
+        std::visit(
+            [&](const auto &concrete) {
+                using Step = std::decay_t<decltype(concrete)>;
+                if constexpr (std::is_same_v<Step, callaction::Choose>) {
+                    if (concrete.reason) {
+                        m_retries.add(*concrete.reason);
+                    }
+                    choose(id, concrete.reason, actions, now);
+                } else if constexpr (std::is_same_v<Step, callaction::SendOpen>) {
+                    ++m_attempts;
+                    sendOpen(id, m_calls.at(id), actions, now);
+                } else if constexpr (std::is_same_v<Step, callaction::SendFence>) {
+                    sendFence(id, m_calls.at(id), actions);
+                } else if constexpr (std::is_same_v<Step, callaction::SendCancel>) {
+                    sendCancel(id, m_calls.at(id), actions);
+                } else {
+                    finish(id, concrete, actions);
+                }
+            },
+            step);
+    }
+}
+
+void EntryCore::choose(const CallId &id, std::optional<RetryReason> reason, EntryActions &actions, TimePoint now)
+{
+    Call &call = m_calls.at(id);
+    const auto service = m_services.find(call.spec.service);
+    std::optional<EndpointId> picked;
+    if (service != m_services.end()) {
+        picked = service->second.choice.pick(call.avoid, now, m_random);
+    }
+    // An endpoint that refused for load would refuse the same call again at once.
+    const bool refusedBefore = reason == RetryReason::Overloaded && picked && call.avoid.count(*picked) != 0;
+    if (!picked || refusedBefore) {
+        drive(id, callevent::NoneUsable {call.lastRefusal}, AttemptEvidence::Neutral, actions, now);
+        return;
+    }
+    Choice &choice = service->second.choice;
+    choice.began(*picked);
+    call.attempt = Attempt {*picked, *choice.hostOf(*picked), {}, {}, false, false, now, true};
+    drive(id, callevent::EndpointChosen {}, AttemptEvidence::Neutral, actions, now);
+}
+
+void EntryCore::sendOpen(const CallId &id, Call &call, EntryActions &actions, TimePoint now)
+{
+    Attempt &attempt = call.attempt;
+    const Peer &peer = m_peers[attempt.host];
+    if (!peer.up) {
+        m_unsent.emplace(attempt.chosenAt, id);
+        actions.emplace_back(entryaction::Connect {attempt.host});
+        return;
+    }
+    attempt.sent = true;
+    attempt.target = peer.incarnation;
+    attempt.generation = peer.generation;
+    const auto remaining = std::chrono::duration_cast<Microseconds>(call.spec.deadline - now);
+    const OpenRequest request {attemptId(id, call), attempt.endpoint, attempt.target,
+                               attempt.generation,  remaining,        call.spec.repeatable};
+    actions.emplace_back(entryaction::SendOpen {attempt.host, request});
+}
+
+void EntryCore::sendFence(const CallId &id, Call &call, EntryActions &actions)
+{
+    Attempt &attempt = call.attempt;
+    const Peer &peer = m_peers[attempt.host];
+    attempt.fenceWaits = !peer.up || peer.generation <= attempt.generation;
+    if (attempt.fenceWaits) {
+        actions.emplace_back(entryaction::Connect {attempt.host});
+        return;
+    }
+    attempt.generation = peer.generation;
+    actions.emplace_back(
+        entryaction::SendFence {attempt.host, FenceRequest {attemptId(id, call), attempt.target, peer.generation}});
+}
+
+void EntryCore::sendCancel(const CallId &id, const Call &call, EntryActions &actions) const
+{
+    const auto peer = m_peers.find(call.attempt.host);
+    if (call.attempt.sent && peer != m_peers.end() && peer->second.up) {
+        actions.emplace_back(entryaction::SendCancel {call.attempt.host, attemptId(id, call)});
+    }
+}
+
+void EntryCore::finish(const CallId &id, const callaction::Finish &end, EntryActions &actions)
+{
+    if (end.stop) {
+        m_retryStops.add(*end.stop);
+    }
+    if (end.outcome != Outcome::Answered) {
+        m_failures.add(end.code);
+    }
+    m_deadlines.erase({m_calls.at(id).spec.deadline, id});
+    m_calls.erase(id);
+    actions.emplace_back(entryaction::Finish {id, end.outcome, end.code});
+}
+
+std::vector<CallId> EntryCore::callsAt(const HostId &host) const
+{
+    std::vector<CallId> result;
+    for (const auto &[id, call] : m_calls) {
+        if (call.attempt.open && call.attempt.host == host) {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+EntryActions EntryCore::onLinkUp(const HostId &host, Incarnation incarnation, TimePoint now)
+{
+    EntryActions actions = onLinkDown(host, now);
+    Peer &peer = m_peers[host];
+    if (peer.incarnation != incarnation && peer.generation.value() != 0) {
+        for (auto &[id, service] : m_services) {
+            service.choice.setRestarted(host, now);
+        }
+    }
+    peer = Peer {true, incarnation, LinkGeneration(++m_lastGeneration)};
+    for (const CallId &id : callsAt(host)) {
+        resumeOnLink(id, peer, actions, now);
+    }
+    return actions;
+}
+
+void EntryCore::resumeOnLink(const CallId &id, const Peer &peer, EntryActions &actions, TimePoint now)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end() || !found->second.attempt.open) {
+        return;
+    }
+    Call &call = found->second;
+    const std::uint32_t number = call.machine.attempt();
+    if (!call.attempt.sent) {
+        sendOpen(id, call, actions, now);
+        return;
+    }
+    if (!call.attempt.fenceWaits) {
+        return;
+    }
+    if (call.attempt.target != peer.incarnation) {
+        drive(id, callevent::PeerDead {number}, AttemptEvidence::Failure, actions, now);
+        return;
+    }
+    drive(id, callevent::LinkBack {number}, AttemptEvidence::Neutral, actions, now);
+}
+
+EntryActions EntryCore::onLinkDown(const HostId &host, TimePoint now)
+{
+    EntryActions actions;
+    Peer &peer = m_peers[host];
+    if (!peer.up) {
+        return actions;
+    }
+    peer.up = false;
+    for (const CallId &id : callsAt(host)) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end() || !found->second.attempt.sent || found->second.attempt.host != host) {
+            continue;
+        }
+        drive(id, callevent::LinkLost {found->second.machine.attempt()}, AttemptEvidence::Failure, actions, now);
+    }
+    return actions;
+}
+
+EntryActions EntryCore::onUnreachable(const HostId &host, bool refused, TimePoint now)
+{
+    EntryActions actions;
+    for (const CallId &id : callsAt(host)) {
+        const auto found = m_calls.find(id);
+        if (found == m_calls.end() || !found->second.attempt.open || found->second.attempt.host != host) {
+            continue;
+        }
+        const Call &call = found->second;
+        const std::uint32_t number = call.machine.attempt();
+        if (!call.attempt.sent) {
+            drive(id, callevent::NotSent {number}, AttemptEvidence::Failure, actions, now);
+        } else if (call.attempt.fenceWaits && refused) {
+            drive(id, callevent::PeerDead {number}, AttemptEvidence::Failure, actions, now);
+        } else if (call.attempt.fenceWaits) {
+            actions.emplace_back(entryaction::Connect {host});
+        }
+    }
+    return actions;
+}
+
+EntryActions EntryCore::onRefused(const AttemptId &attempt, ResultCode code, TimePoint now)
+{
+    EntryActions actions;
+    if (!awaits(attempt)) {
+        return actions;
+    }
+    Call &call = m_calls.at(attempt.call);
+    call.lastRefusal = code;
+    if (code == ResultCode::TargetLeaving) {
+        onAnnounced(call.attempt.endpoint, true, now);
+    }
+    const bool unreachable = code == ResultCode::TargetUnreachable;
+    drive(attempt.call, callevent::Refused {attempt.number, code},
+          unreachable ? AttemptEvidence::Failure : AttemptEvidence::Neutral, actions, now);
+    return actions;
+}
+
+EntryActions EntryCore::onLost(const AttemptId &attempt, ResultCode code, TimePoint now)
+{
+    EntryActions actions;
+    drive(attempt.call, callevent::Lost {attempt.number, code}, AttemptEvidence::Failure, actions, now);
+    return actions;
+}
+
+EntryActions EntryCore::onFenceReplied(const AttemptId &attempt, FenceStatus status, TimePoint now)
+{
+    EntryActions actions;
+    drive(attempt.call, callevent::FenceReplied {attempt.number, status}, AttemptEvidence::Neutral, actions, now);
+    return actions;
+}
+
+EntryActions EntryCore::onAnswerBegan(const AttemptId &attempt, TimePoint now)
+{
+    EntryActions actions;
+    drive(attempt.call, callevent::AnswerBegan {attempt.number}, AttemptEvidence::Neutral, actions, now);
+    return actions;
+}
+
+EntryActions EntryCore::onAnswerEnded(const AttemptId &attempt, TimePoint now)
+{
+    EntryActions actions;
+    drive(attempt.call, callevent::AnswerEnded {attempt.number}, AttemptEvidence::Success, actions, now);
+    return actions;
+}
+
+void EntryCore::onLoad(const AttemptId &attempt, double load, TimePoint now)
+{
+    if (!awaits(attempt)) {
+        return;
+    }
+    const Call &call = m_calls.at(attempt.call);
+    const auto service = m_services.find(call.spec.service);
+    if (service != m_services.end()) {
+        service->second.choice.reported(call.attempt.endpoint, load, now);
+    }
+}
+
+void EntryCore::onAnnounced(const EndpointId &endpoint, bool leaving, TimePoint now)
+{
+    for (auto &[id, service] : m_services) {
+        service.choice.setLeaving(endpoint, leaving, now);
+    }
+}
+
+EntryActions EntryCore::onCallerGone(const CallId &call, TimePoint now)
+{
+    EntryActions actions;
+    drive(call, callevent::CallerLeft {}, AttemptEvidence::Neutral, actions, now);
+    return actions;
+}
+
+void EntryCore::resolveUnsent(const CallId &id, EntryActions &actions, TimePoint now)
+{
+    const Call &call = m_calls.at(id);
+    if (call.attempt.open && !call.attempt.sent) {
+        drive(id, callevent::NotSent {call.machine.attempt()}, AttemptEvidence::Failure, actions, now);
+    }
+}
+
+void EntryCore::giveUpUnsent(TimePoint chosenUntil, EntryActions &actions, TimePoint now)
+{
+    while (!m_unsent.empty() && m_unsent.begin()->first <= chosenUntil) {
+        const auto [chosenAt, id] = *m_unsent.begin();
+        m_unsent.erase(m_unsent.begin());
+        const auto found = m_calls.find(id);
+        if (found != m_calls.end() && found->second.attempt.chosenAt == chosenAt) {
+            resolveUnsent(id, actions, now);
+        }
+    }
+}
+
+EntryActions EntryCore::tick(TimePoint now)
+{
+    EntryActions actions;
+    giveUpUnsent(now - m_limits.connectPatience, actions, now);
+    while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
+        const CallId id = m_deadlines.begin()->second;
+        resolveUnsent(id, actions, now);
+        drive(id, callevent::DeadlinePassed {}, AttemptEvidence::Failure, actions, now);
+    }
+    return actions;
+}
+
+std::optional<TimePoint> EntryCore::earliestDeadline() const
+{
+    return m_deadlines.empty() ? std::nullopt : std::optional(m_deadlines.begin()->first);
+}
+
+} // namespace jasminemast
--- a/lib/call/fence.cpp
+++ b/lib/call/fence.cpp
@@ -43,30 +43,28 @@
 {
 }
 
-FenceTable::Peer &FenceTable::meetPeer(const CallId &call, std::uint64_t forgotten, TimePoint now)
+FenceTable::Peer *FenceTable::meetPeer(const CallId &call, TimePoint now)
 {
     auto found = m_peers.find(call.node);
     if (found == m_peers.end()) {
-        if (m_peers.size() >= m_limits.maxPeers) {
-            dropOldestPeer();
+        if (m_peers.size() >= m_limits.maxPeers && !makeRoomForPeer(now)) {
+            return nullptr;
         }
         found = m_peers.emplace(call.node, Peer {}).first;
     }
     Peer &peer = found->second;
     if (peer.incarnation < call.incarnation) {
-        peer = Peer {call.incarnation, LinkGeneration(0), m_droppedPeers ? forgotten : 0, now};
+        peer = Peer {call.incarnation, LinkGeneration(0), 0, now};
     }
     peer.lastSeen = now;
-    return peer;
+    return &peer;
 }
 
-void FenceTable::dropOldestPeer()
+bool FenceTable::makeRoomForPeer(TimePoint now)
 {
-    const auto oldest = std::min_element(m_peers.begin(), m_peers.end(), [](const auto &left, const auto &right) {
-        return left.second.lastSeen < right.second.lastSeen;
-    });
-    m_peers.erase(oldest);
-    m_droppedPeers = true;
+    const std::size_t before = m_peers.size();
+    std::erase_if(m_peers, [&](const auto &item) { return now - item.second.lastSeen > m_limits.peerMemory; });
+    return m_peers.size() < before;
 }
 
 OpenVerdict FenceTable::open(const OpenRequest &request, TimePoint deadline, TimePoint now)
@@ -78,15 +76,14 @@
     if (request.target != m_self) {
         return OpenVerdict::Unknown;
     }
-    const std::uint64_t sequence = request.attempt.call.sequence;
-    const Peer &peer = meetPeer(request.attempt.call, sequence - 1, now);
-    if (request.attempt.call.incarnation < peer.incarnation) {
+    const Peer *peer = meetPeer(request.attempt.call, now);
+    if (peer == nullptr || request.attempt.call.incarnation < peer->incarnation) {
         return OpenVerdict::Unknown;
     }
-    if (sequence <= peer.forgottenSequence) {
+    if (request.attempt.call.sequence <= peer->forgottenSequence) {
         return OpenVerdict::Unknown;
     }
-    if (request.generation < peer.lowestGeneration) {
+    if (request.generation < peer->lowestGeneration) {
         return OpenVerdict::Fenced;
     }
     m_attempts.emplace(request.attempt, Entry {Pending {}, deadline + m_limits.margin});
@@ -128,15 +125,15 @@
     if (request.target != m_self) {
         return {FenceStatus::Unknown, nullptr};
     }
-    const std::uint64_t sequence = request.attempt.call.sequence;
-    Peer &peer = meetPeer(request.attempt.call, sequence, now);
-    if (request.attempt.call.incarnation < peer.incarnation) {
+    Peer *peer = meetPeer(request.attempt.call, now);
+    if (peer == nullptr || request.attempt.call.incarnation < peer->incarnation) {
         return {FenceStatus::Unknown, nullptr};
     }
-    peer.lowestGeneration = std::max(peer.lowestGeneration, request.generation);
+    peer->lowestGeneration = std::max(peer->lowestGeneration, request.generation);
     const auto found = m_attempts.find(request.attempt);
     if (found == m_attempts.end()) {
-        return {sequence <= peer.forgottenSequence ? FenceStatus::Unknown : FenceStatus::NotRun, nullptr};
+        const bool forgotten = request.attempt.call.sequence <= peer->forgottenSequence;
+        return {forgotten ? FenceStatus::Unknown : FenceStatus::NotRun, nullptr};
     }
     const Phase &phase = found->second.phase;
     if (std::holds_alternative<Refused>(phase)) {
--- a/lib/call/outcome.cpp
+++ b/lib/call/outcome.cpp
@@ -194,15 +194,13 @@
 
 CallActions CallMachine::on(const callevent::FenceReplied &event, RetryBudget &budget, TimePoint now)
 {
-    if (event.attempt != m_attempt || m_phase != Phase::Fencing) {
+    if (!awaits(event.attempt)) {
         return {};
     }
     switch (event.status) {
     case FenceStatus::NotRun:
         return retryOrFinish(RetryReason::Fenced, true, ResultCode::AttemptFenced, budget, now);
     case FenceStatus::Running:
-        m_phase = Phase::Waiting;
-        return {};
     case FenceStatus::Done:
         m_phase = Phase::Waiting;
         return {};
