[call] prove the promises to callers under thousands of orders

Entry and target cores on a test clock, joined by a network that loses, doubles, reorders and delays; targets and entries restart; the ledger of the targets judges. Each sabotage switch is seen to break its promise in the same program.

--- /dev/null
+++ b/unittests/call/fencetest.cpp
@@ -0,0 +1,161 @@
+// The table of attempts beside a target: late, doubled and forgotten attempts, kept answers and their bounds.
+#include "jasminemast/call/fence.h"
+
+#include <gtest/gtest.h>
+
+using namespace jasminemast;
+
+namespace
+{
+
+constexpr Incarnation Self {7};
+
+class FenceTest : public testing::Test
+{
+protected:
+    static AttemptId attempt(std::uint64_t sequence, std::uint32_t number = 1, std::uint64_t process = 1)
+    {
+        return {CallId {HostId("h"), Incarnation(process), sequence}, number};
+    }
+    OpenVerdict open(const AttemptId &id, std::uint64_t generation = 1, Incarnation target = Self)
+    {
+        const OpenRequest request {id, EndpointId("e"), target, LinkGeneration(generation), {}, false};
+        return m_table.open(request, m_now + std::chrono::seconds(1), m_now);
+    }
+    FenceStatus fence(const AttemptId &id, std::uint64_t generation = 2, Incarnation target = Self)
+    {
+        return m_table.fence({id, target, LinkGeneration(generation)}, m_now).status;
+    }
+    void answer(const AttemptId &id, std::size_t bytes)
+    {
+        m_table.answered(id, std::make_shared<KeptAnswer>(KeptAnswer {200, "", std::string(bytes, 'x')}), m_now);
+    }
+
+    TimePoint m_now {std::chrono::hours(1)};
+    FenceTable m_table {Self, FenceLimits {4, 100, 60, 2}};
+};
+
+} // namespace
+
+TEST_F(FenceTest, fenceOfUnknownAttemptRefusesItsLateArrival)
+{
+    EXPECT_EQ(fence(attempt(1)), FenceStatus::NotRun);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Fenced);
+    EXPECT_EQ(fence(attempt(1), 3), FenceStatus::NotRun);
+}
+
+TEST_F(FenceTest, lateArrivalStaysRefusedWhateverItsAge)
+{
+    fence(attempt(1));
+    m_now += std::chrono::hours(10);
+    m_table.expire(m_now);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Fenced);
+}
+
+TEST_F(FenceTest, nextAttemptOnTheNewLinkIsFresh)
+{
+    fence(attempt(1), 2);
+    EXPECT_EQ(open(attempt(1, 2), 2), OpenVerdict::Fresh);
+}
+
+TEST_F(FenceTest, doubledAttemptRunsOnce)
+{
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Fresh);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Duplicate);
+    m_table.started(attempt(1));
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Duplicate);
+    EXPECT_EQ(fence(attempt(1)), FenceStatus::Running);
+    answer(attempt(1), 10);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Duplicate);
+}
+
+TEST_F(FenceTest, refusalIsFinal)
+{
+    open(attempt(1));
+    m_table.refused(attempt(1), ResultCode::SlotsTaken, m_now);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Refused);
+    EXPECT_EQ(m_table.refusalOf(attempt(1)), ResultCode::SlotsTaken);
+    EXPECT_EQ(fence(attempt(1)), FenceStatus::NotRun);
+}
+
+TEST_F(FenceTest, keptAnswerIsGivenAgain)
+{
+    open(attempt(1));
+    m_table.started(attempt(1));
+    answer(attempt(1), 10);
+    const FenceAnswer reply = m_table.fence({attempt(1), Self, LinkGeneration(2)}, m_now);
+    ASSERT_EQ(reply.status, FenceStatus::Done);
+    EXPECT_EQ(reply.answer->body.size(), 10U);
+}
+
+TEST_F(FenceTest, longAndDisplacedAnswersAreUnknown)
+{
+    for (std::uint64_t sequence = 1; sequence <= 4; ++sequence) {
+        open(attempt(sequence));
+        m_table.started(attempt(sequence));
+    }
+    answer(attempt(1), 61);
+    EXPECT_EQ(fence(attempt(1)), FenceStatus::Unknown) << "longer than one answer may be";
+    answer(attempt(2), 50);
+    answer(attempt(3), 50);
+    answer(attempt(4), 50);
+    EXPECT_EQ(m_table.keptBytes(), 100U);
+    EXPECT_EQ(fence(attempt(2)), FenceStatus::Unknown) << "displaced by later answers";
+    EXPECT_EQ(fence(attempt(4)), FenceStatus::Done);
+}
+
+TEST_F(FenceTest, lostAnswerIsUnknown)
+{
+    open(attempt(1));
+    m_table.started(attempt(1));
+    m_table.lost(attempt(1), m_now);
+    EXPECT_EQ(fence(attempt(1)), FenceStatus::Unknown);
+}
+
+TEST_F(FenceTest, forgottenAttemptIsNeitherRunNorCalledNotRun)
+{
+    open(attempt(5));
+    m_table.started(attempt(5));
+    answer(attempt(5), 1);
+    m_now += std::chrono::minutes(1);
+    m_table.expire(m_now);
+    ASSERT_EQ(m_table.size(), 0U);
+    EXPECT_EQ(open(attempt(5)), OpenVerdict::Unknown);
+    EXPECT_EQ(fence(attempt(5)), FenceStatus::Unknown);
+    EXPECT_EQ(fence(attempt(4)), FenceStatus::Unknown) << "may have been forgotten as well";
+    EXPECT_EQ(fence(attempt(6)), FenceStatus::NotRun);
+}
+
+TEST_F(FenceTest, countIsBounded)
+{
+    for (std::uint64_t sequence = 1; sequence <= 50; ++sequence) {
+        open(attempt(sequence));
+        m_table.refused(attempt(sequence), ResultCode::SlotsTaken, m_now);
+    }
+    EXPECT_EQ(m_table.size(), 4U);
+    EXPECT_EQ(open(attempt(1)), OpenVerdict::Unknown);
+}
+
+TEST_F(FenceTest, anotherIncarnationKnowsNothing)
+{
+    EXPECT_EQ(open(attempt(1), 1, Incarnation(6)), OpenVerdict::Unknown);
+    EXPECT_EQ(fence(attempt(1), 2, Incarnation(6)), FenceStatus::Unknown);
+}
+
+TEST_F(FenceTest, attemptsOfAReplacedSenderDoNotRun)
+{
+    EXPECT_EQ(open(attempt(1, 1, 2)), OpenVerdict::Fresh);
+    EXPECT_EQ(open(attempt(9, 1, 1)), OpenVerdict::Unknown);
+}
+
+TEST_F(FenceTest, sendersBeyondTheBoundAreNotServed)
+{
+    for (const char *host : {"a", "b"}) {
+        EXPECT_EQ(open({CallId {HostId(host), Incarnation(1), 1}, 1}), OpenVerdict::Fresh);
+    }
+    const AttemptId third {CallId {HostId("c"), Incarnation(1), 1}, 1};
+    EXPECT_EQ(open(third), OpenVerdict::Unknown);
+    EXPECT_EQ(fence(third), FenceStatus::Unknown);
+    m_now += std::chrono::hours(25);
+    EXPECT_EQ(open(third), OpenVerdict::Fresh);
+}
--- /dev/null
+++ b/unittests/call/simulation.cpp
@@ -0,0 +1,438 @@
+// Steps, deliveries and the judge.
+#include "simulation.h"
+
+#include <algorithm>
+#include <sstream>
+#include <type_traits>
+
+namespace jasminemast::simulation
+{
+
+namespace
+{
+
+constexpr std::size_t EntryCount = 2;
+constexpr std::size_t TargetCount = 3;
+constexpr unsigned Slots = 2;
+constexpr Duration LongestDeadline = std::chrono::seconds(2);
+
+HostId targetHost(std::size_t index)
+{
+    return HostId("target" + std::to_string(index));
+}
+
+EndpointId endpointOf(std::size_t index)
+{
+    return EndpointId("endpoint" + std::to_string(index));
+}
+
+std::size_t indexOf(const HostId &host)
+{
+    return static_cast<std::size_t>(host.value().back() - '0');
+}
+
+std::string describe(const CallId &id)
+{
+    std::ostringstream text;
+    text << id.node << "/" << id.incarnation << "/" << id.sequence;
+    return text.str();
+}
+
+} // namespace
+
+Simulation::Simulation(Sabotage sabotage, std::size_t remembered)
+    : m_sabotage(sabotage)
+    , m_remembered(remembered)
+    , m_entries(EntryCount)
+    , m_targets(TargetCount)
+{
+    for (std::size_t i = 0; i < TargetCount; ++i) {
+        startTarget(i);
+    }
+    for (std::size_t i = 0; i < EntryCount; ++i) {
+        startEntry(i);
+    }
+}
+
+void Simulation::startEntry(std::size_t index)
+{
+    Entry &entry = m_entries[index];
+    ++entry.process;
+    const EntryPlace place {HostId("entry" + std::to_string(index)), Incarnation(entry.process), ZoneId("a"),
+                            RegionId("r")};
+    entry.core = std::make_unique<EntryCore>(place, EntryLimits {}, 7 * index + entry.process);
+    std::vector<Candidate> candidates;
+    for (std::size_t i = 0; i < TargetCount; ++i) {
+        candidates.push_back({endpointOf(i), targetHost(i), ZoneId("a"), RegionId("r"), Slots, false});
+    }
+    entry.core->setServices({{ServiceId("s"), candidates}}, m_clock.now());
+}
+
+void Simulation::startTarget(std::size_t index)
+{
+    Target &target = m_targets[index];
+    ++target.process;
+    TargetLimits limits;
+    limits.fence.maxAttempts = m_remembered;
+    limits.fence.maxKeptBytes = 32;
+    limits.fence.maxKeptAnswer = 16;
+    target.core = std::make_unique<TargetCore>(Incarnation(target.process), limits);
+    target.core->setEndpoints({{endpointOf(index), Slots, false}}, m_clock.now());
+    target.running.clear();
+    target.leaving = false;
+    target.arrived.clear();
+    target.arrivedWhileLeaving.clear();
+}
+
+void Simulation::run(const std::vector<Step> &steps)
+{
+    for (const Step &each : steps) {
+        step(each);
+    }
+}
+
+void Simulation::step(const Step &step)
+{
+    const std::size_t target = step.first % TargetCount;
+    const std::size_t entry = step.first % EntryCount;
+    switch (step.kind % 16) {
+    case 0:
+    case 1:
+        beginCall(step);
+        break;
+    case 2:
+    case 3:
+    case 4:
+        deliver(0, false);
+        break;
+    case 5:
+        deliver(step.first, false);
+        break;
+    case 6:
+        deliver(step.first, true);
+        break;
+    case 7:
+    case 8:
+        connect(step.first);
+        break;
+    case 9:
+    case 10:
+        loseLink(step);
+        break;
+    case 11:
+        endRun(step);
+        break;
+    case 12:
+        advance(std::chrono::milliseconds(4 * step.first));
+        break;
+    case 13:
+        if (step.second % 4 == 0) {
+            startTarget(target);
+            for (std::size_t i = 0; i < EntryCount; ++i) {
+                apply(i, m_entries[i].core->onLinkDown(targetHost(target), m_clock.now()));
+            }
+        }
+        break;
+    case 14:
+        if (step.second % 8 == 0) {
+            for (auto &[id, record] : m_records) {
+                record.entryDied = record.entryDied || (id.node.value().back() - '0' == static_cast<int>(entry));
+            }
+            startEntry(entry);
+        }
+        break;
+    default:
+        setLeaving(target);
+        break;
+    }
+}
+
+void Simulation::beginCall(const Step &step)
+{
+    const std::size_t entry = step.first % EntryCount;
+    const bool repeatable = step.second % 4 == 0;
+    const Duration deadline = LongestDeadline * (1 + step.second % 8) / 8;
+    const CallSpec spec {ServiceId("s"), repeatable, m_clock.now() + deadline};
+    EntryCore::Begun begun = m_entries[entry].core->begin(spec, m_clock.now());
+    m_records[begun.call].repeatable = repeatable;
+    apply(entry, begun.actions);
+}
+
+void Simulation::connect(std::size_t index)
+{
+    if (m_connecting.empty()) {
+        return;
+    }
+    const auto [entry, target] = *std::next(m_connecting.begin(), static_cast<long>(index % m_connecting.size()));
+    m_connecting.erase({entry, target});
+    apply(entry,
+          m_entries[entry].core->onLinkUp(targetHost(target), Incarnation(m_targets[target].process), m_clock.now()));
+}
+
+void Simulation::loseLink(const Step &step)
+{
+    const std::size_t entry = step.first % EntryCount;
+    const std::size_t target = step.second % TargetCount;
+    // Messages on the lost link stay in the list: they may arrive late, out of order, or (every other time) never.
+    if (step.second % 2 == 0) {
+        std::erase_if(m_messages,
+                      [&](const Message &message) { return message.entry == entry && message.target == target; });
+    }
+    apply(entry, m_entries[entry].core->onLinkDown(targetHost(target), m_clock.now()));
+}
+
+void Simulation::deliver(std::size_t index, bool twice)
+{
+    if (m_messages.empty()) {
+        return;
+    }
+    const auto place = m_messages.begin() + static_cast<long>(index % m_messages.size());
+    const Message message = *place;
+    if (!twice) {
+        m_messages.erase(place);
+    } else if (auto *content = std::get_if<ToTarget>(&place->content); m_sabotage.doublesUnseen && content != nullptr) {
+        if (auto *open = std::get_if<OpenRequest>(content)) {
+            open->attempt.number += 100;
+        }
+    }
+    if (const auto *content = std::get_if<ToTarget>(&message.content)) {
+        deliverToTarget(message, *content);
+    } else {
+        deliverToEntry(message, std::get<Reply>(message.content));
+    }
+}
+
+void Simulation::deliverToTarget(const Message &message, const ToTarget &content)
+{
+    TargetCore &core = *m_targets[message.target].core;
+    const TimePoint now = m_clock.now();
+    if (const auto *open = std::get_if<OpenRequest>(&content)) {
+        Target &target = m_targets[message.target];
+        if (target.arrived.insert(open->attempt).second && target.leaving) {
+            target.arrivedWhileLeaving.insert(open->attempt);
+        }
+        apply(message.target, core.onOpen(*open, Duration::zero(), now));
+    } else if (const auto *fence = std::get_if<FenceRequest>(&content)) {
+        FenceRequest request = *fence;
+        if (m_sabotage.fenceOnOldGeneration) {
+            request.generation = LinkGeneration(0);
+        }
+        apply(message.target, core.onFence(request, now));
+    } else {
+        apply(message.target, core.onCancel(std::get<AttemptId>(content), now));
+    }
+}
+
+void Simulation::deliverToEntry(const Message &message, const Reply &reply)
+{
+    Entry &entry = m_entries[message.entry];
+    if (message.entryProcess != entry.process) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    EntryCore &core = *entry.core;
+    switch (reply.kind) {
+    case Reply::Kind::Refused:
+        apply(message.entry, core.onRefused(reply.attempt, reply.code, now));
+        break;
+    case Reply::Kind::Lost:
+        apply(message.entry, core.onLost(reply.attempt, reply.code, now));
+        break;
+    case Reply::Kind::Fence:
+        ++m_fencesAnswered;
+        apply(message.entry, core.onFenceReplied(reply.attempt, reply.status, now));
+        break;
+    case Reply::Kind::Answer:
+        if (m_sabotage.crossedAnswers || core.awaits(reply.attempt)) {
+            m_records[reply.attempt.call].answerOf = reply.answerOf;
+        }
+        apply(message.entry, core.onAnswerBegan(reply.attempt, now));
+        apply(message.entry, core.onAnswerEnded(reply.attempt, now));
+        break;
+    }
+}
+
+void Simulation::apply(std::size_t entry, const EntryActions &actions)
+{
+    for (const EntryAction &action : actions) {
+        std::visit(
+            [&](const auto &concrete) {
+                using Action = std::decay_t<decltype(concrete)>;
+                if constexpr (std::is_same_v<Action, entryaction::Finish>) {
+                    Record &record = m_records.at(concrete.call);
+                    record.outcome = concrete.outcome;
+                    ++record.finishes;
+                } else if constexpr (std::is_same_v<Action, entryaction::Connect>) {
+                    m_connecting.emplace(entry, indexOf(concrete.host));
+                } else {
+                    const std::size_t target = indexOf(concrete.host);
+                    ToTarget content;
+                    if constexpr (std::is_same_v<Action, entryaction::SendCancel>) {
+                        content = concrete.attempt;
+                    } else {
+                        content = concrete.request;
+                    }
+                    m_messages.push_back({entry, target, m_entries[entry].process, m_targets[target].process, content});
+                }
+            },
+            action);
+    }
+}
+
+void Simulation::startRun(std::size_t index, const targetaction::Start &start)
+{
+    Target &target = m_targets[index];
+    target.running.emplace(start.attempt, start.repeatable);
+    ++m_ledger[start.attempt.call];
+    if (target.running.size() > Slots) {
+        m_violations.emplace_back("more requests than slots");
+    }
+    if (target.arrivedWhileLeaving.count(start.attempt) != 0) {
+        m_violations.emplace_back("new work for a leaving target");
+    }
+    if (start.deadline <= m_clock.now()) {
+        m_violations.emplace_back("started after its deadline");
+    }
+}
+
+void Simulation::apply(std::size_t index, const TargetActions &actions)
+{
+    for (const TargetAction &action : actions) {
+        std::visit(
+            [&](const auto &concrete) {
+                using Action = std::decay_t<decltype(concrete)>;
+                if constexpr (std::is_same_v<Action, targetaction::Start>) {
+                    startRun(index, concrete);
+                } else if constexpr (std::is_same_v<Action, targetaction::Abort>) {
+                    m_targets[index].running.erase(concrete.attempt);
+                } else if constexpr (std::is_same_v<Action, targetaction::Refuse>) {
+                    reply(index, {concrete.attempt, Reply::Kind::Refused, concrete.code, {}, {}});
+                } else if constexpr (std::is_same_v<Action, targetaction::Fail>) {
+                    const auto kind = m_sabotage.lieAboutLost ? Reply::Kind::Refused : Reply::Kind::Lost;
+                    const auto code = m_sabotage.lieAboutLost ? ResultCode::SlotsTaken : concrete.code;
+                    reply(index, {concrete.attempt, kind, code, {}, {}});
+                } else if constexpr (std::is_same_v<Action, targetaction::ReplyToFence>) {
+                    reply(index, {concrete.attempt, Reply::Kind::Fence, ResultCode::Ok, concrete.answer.status, {}});
+                    if (concrete.answer.status == FenceStatus::Done) {
+                        reply(index,
+                              {concrete.attempt, Reply::Kind::Answer, ResultCode::Ok, {}, concrete.attempt.call});
+                    }
+                }
+            },
+            action);
+    }
+}
+
+void Simulation::reply(std::size_t target, const Reply &reply)
+{
+    const CallId &call = reply.attempt.call;
+    m_messages.push_back({indexOf(call.node), target, call.incarnation.value(), m_targets[target].process, reply});
+}
+
+void Simulation::endRun(const Step &step)
+{
+    std::vector<std::size_t> busy;
+    for (std::size_t i = 0; i < TargetCount; ++i) {
+        if (!m_targets[i].running.empty()) {
+            busy.push_back(i);
+        }
+    }
+    if (busy.empty()) {
+        return;
+    }
+    const std::size_t index = busy[step.first % busy.size()];
+    Target &target = m_targets[index];
+    const auto place = std::next(target.running.begin(), step.second % static_cast<long>(target.running.size()));
+    const AttemptId attempt = place->first;
+    target.running.erase(place);
+    const TimePoint now = m_clock.now();
+    switch (step.second % 8) {
+    case 0:
+        --m_ledger[attempt.call];
+        apply(index, target.core->onNotSent(attempt, now));
+        break;
+    case 1:
+        apply(index, target.core->onLost(attempt, ResultCode::OutcomeUnknown, now));
+        break;
+    default: {
+        // Some answers are too long to keep.
+        const std::string body(step.second % 8 == 2 ? 64 : 4, 'x');
+        const auto kept = std::make_shared<KeptAnswer>(KeptAnswer {200, "", body});
+        const CallId of = m_sabotage.crossedAnswers ? CallId {} : attempt.call;
+        reply(index, {attempt, Reply::Kind::Answer, ResultCode::Ok, {}, of});
+        apply(index, target.core->onAnswered(attempt, kept, now));
+    }
+    }
+}
+
+void Simulation::setLeaving(std::size_t index)
+{
+    Target &target = m_targets[index];
+    target.leaving = !target.leaving;
+    if (!m_sabotage.leavingIgnored) {
+        apply(index, target.core->setLeaving(DrainReason::HostList, target.leaving, m_clock.now()));
+    }
+}
+
+void Simulation::advance(Duration duration)
+{
+    m_clock.advance(duration);
+    for (std::size_t i = 0; i < TargetCount; ++i) {
+        apply(i, m_targets[i].core->tick(m_clock.now()));
+    }
+    for (std::size_t i = 0; i < EntryCount; ++i) {
+        apply(i, m_entries[i].core->tick(m_clock.now()));
+    }
+}
+
+void Simulation::settle()
+{
+    constexpr int Rounds = 12;
+    for (int round = 0; round < Rounds; ++round) {
+        while (!m_messages.empty()) {
+            deliver(0, false);
+        }
+        while (!m_connecting.empty()) {
+            connect(0);
+        }
+        for (std::uint8_t i = 0; i < TargetCount * Slots; ++i) {
+            endRun({0, i, 3});
+        }
+        advance(LongestDeadline / 4);
+    }
+}
+
+std::size_t Simulation::answeredCalls() const
+{
+    return static_cast<std::size_t>(std::count_if(
+        m_records.begin(), m_records.end(), [](const auto &item) { return item.second.outcome == Outcome::Answered; }));
+}
+
+std::vector<std::string> Simulation::violations() const
+{
+    std::vector<std::string> found = m_violations;
+    for (const auto &[id, record] : m_records) {
+        const auto entry = m_ledger.find(id);
+        const std::size_t runs = entry == m_ledger.end() ? 0 : entry->second;
+        if (!record.repeatable && runs > 1) {
+            found.push_back("ran twice: " + describe(id));
+        }
+        if (record.outcome == Outcome::NotRun && runs > 0) {
+            found.push_back("called not run but ran: " + describe(id));
+        }
+        if (record.outcome == Outcome::Answered && (runs == 0 || record.answerOf != id)) {
+            found.push_back("not its own answer: " + describe(id));
+        }
+        if (!record.entryDied && record.finishes != 1) {
+            found.push_back("finished " + std::to_string(record.finishes) + " times: " + describe(id));
+        }
+    }
+    for (const Target &target : m_targets) {
+        if (target.core->accepted() != 0) {
+            found.emplace_back("an accepted attempt never ended");
+        }
+    }
+    return found;
+}
+
+} // namespace jasminemast::simulation
