--- a/include/jasminemast/call/admission.h
+++ b/include/jasminemast/call/admission.h
@@ -1,7 +1,7 @@
 // Admission beside a target: exact slots, a short queue that knows deadlines, and refusal of the rest.
 #pragma once
 
-#include "jasminemast/call/messages.h"
+#include "jasminemast/call/attempt.h"
 
 #include <cstddef>
 #include <deque>
--- a/include/jasminemast/call/fence.h
+++ b/include/jasminemast/call/fence.h
@@ -8,7 +8,7 @@
 //    it is neither run nor called "not run".
 #pragma once
 
-#include "jasminemast/call/messages.h"
+#include "jasminemast/call/attempt.h"
 
 #include <cstdint>
 #include <list>
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -1,83 +1,142 @@
-// What nodes say to each other about calls: opening, fencing and cancelling an attempt, and the replies.
-//
-// Bodies and headers travel beside these messages; the core only decides.
+// Messages about calls that nodes send each other over links.
 #pragma once
 
-#include "jasminemast/support/clock.h"
+#include "jasminemast/support/archive.h"
 #include "jasminemast/support/ids.h"
 #include "jasminemast/support/result.h"
 
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace jasminemast
 {
 
-/// Counts the links that one process has established; a later link has a higher value.
-using LinkGeneration = StrongId<struct LinkGenerationTag, std::uint64_t>;
+/// Frame types of the call protocol; control traffic has the types from 64 on.
+enum class CallFrame : std::uint8_t {
+    Open = 16, ///< OpenMessage: start of an attempt
+    RequestBody = 17, ///< DataFrame: piece of a request body
+    Refused = 18, ///< RefusedMessage: the attempt was not run
+    Head = 19, ///< HeadMessage: status and headers of the answer
+    Data = 20, ///< DataFrame: piece of an answer body
+    End = 21, ///< EndMessage: the answer is over
+    Credit = 22, ///< CreditMessage: the asking node took answer bytes
+    Cancel = 23, ///< CancelMessage: the asking node no longer wants the answer
+};
+
+using HeaderFields = std::vector<std::pair<std::string, std::string>>;
 
-/// One try of a call. Its first is number 1.
-struct AttemptId
+/// Asks the node beside a target to run one attempt of a call.
+struct OpenMessage
 {
+    std::uint64_t stream = 0; ///< names the attempt on this link; chosen by the asking node
     CallId call;
-    std::uint32_t number = 0;
+    std::uint32_t attempt = 0; ///< 1 for the first
+    std::uint32_t remainingMs = 0; ///< time left until the deadline, when sent
+    TicketNumber ticket; ///< configuration that the asking node routed by
+    EndpointId endpoint;
+    bool repeatable = false;
+    std::string method;
+    std::string target; ///< path and query
+    HeaderFields headers;
+    std::uint64_t bodyBytes = 0; ///< length of the request body that follows in RequestBody frames
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, call, attempt, remainingMs, ticket, endpoint, repeatable);
+        archive(method, target, headers, bodyBytes);
+    }
+};
 
-    auto operator<=>(const AttemptId &) const = default;
+/// The attempt was not run and never will be.
+struct RefusedMessage
+{
+    std::uint64_t stream = 0;
+    std::uint32_t code = 0; ///< number of a ResultCode
+    std::string detail;
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(call, number);
+        archive(stream, code, detail);
     }
 };
 
-/// What a caller can know about a call that is over.
-enum class Outcome : std::uint8_t {
-    Answered, ///< the whole answer of the target was passed on
-    NotRun, ///< the target never received the request and never will
-    Unknown, ///< the target may have run the request
+/// Start of the answer.
+struct HeadMessage
+{
+    std::uint64_t stream = 0;
+    std::uint32_t status = 0;
+    HeaderFields headers;
+    std::optional<std::uint64_t> length; ///< body length, when known
+    TicketNumber ticket; ///< configuration of the answering node
+    float load = 0; ///< share of the target's slots in use, 0 to 1
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, status, headers, length, ticket, load);
+    }
 };
 
-/// Asks the node beside a target to run an attempt.
-struct OpenRequest
+/// End of the answer: whole when the code is Ok; otherwise the answer is cut and the outcome unknown.
+struct EndMessage
 {
-    AttemptId attempt;
-    EndpointId endpoint;
-    Incarnation target; ///< process that the sender means to reach
-    LinkGeneration generation; ///< link that carries this message
-    Microseconds remaining {0}; ///< time left until the deadline when the message was sent
-    bool repeatable = false;
+    std::uint64_t stream = 0;
+    std::uint32_t code = 0;
+    std::string detail;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, code, detail);
+    }
 };
 
-/// Asks what became of an attempt whose link was lost, and refuses the attempt for good if it never arrived.
-///
-/// Invariant kept by the sender: `generation` is above that of the link that carried the attempt, and nothing is sent
-/// on an older link any more.
-struct FenceRequest
+/// Allows that many more bytes of answer body.
+struct CreditMessage
 {
-    AttemptId attempt;
-    Incarnation target; ///< process that the attempt was sent to
-    LinkGeneration generation; ///< link that carries this message
+    std::uint64_t stream = 0;
+    std::uint64_t bytes = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, bytes);
+    }
 };
 
-/// The reply to a fence.
-enum class FenceStatus : std::uint8_t {
-    NotRun, ///< never handed to the target, and refused from now on
-    Running, ///< its answer will follow on the link of the fence
-    Done, ///< the kept answer follows
-    Unknown, ///< may have run; the answer cannot be had
+struct CancelMessage
+{
+    std::uint64_t stream = 0;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream);
+    }
 };
 
-/// The answer of a target as kept for a later fence.
-struct KeptAnswer
+/// A piece of body: the stream number and then the bare bytes.
+struct DataFrame
 {
-    int status = 0; ///< HTTP status
-    std::string headers; ///< as the sender encoded them
-    std::string body;
+    std::uint64_t stream = 0;
+    std::string_view bytes;
 };
 
-/// True when \p code says that the target never received the request.
-bool isNotRun(ResultCode code);
+std::string encodeDataFrame(std::uint64_t stream, std::string_view bytes);
+
+/// \throws ResultError with FrameMalformed. The result refers into \p payload.
+DataFrame decodeDataFrame(std::string_view payload);
+
+/// Bounds of the call protocol.
+struct CallProtocol
+{
+    static constexpr std::size_t DataFrameBytes = 16 << 10; ///< largest piece of body in one frame
+    static constexpr std::size_t WindowBytes = 256 << 10; ///< answer bytes that may be under way unacknowledged
+};
 
 } // namespace jasminemast
--- a/include/jasminemast/call/outcome.h
+++ b/include/jasminemast/call/outcome.h
@@ -1,7 +1,7 @@
 // The life of one call on its entry node: attempts, the fence after a lost link, and the one outcome at the end.
 #pragma once
 
-#include "jasminemast/call/messages.h"
+#include "jasminemast/call/attempt.h"
 #include "jasminemast/call/retry.h"
 
 #include <cstdint>
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -47,7 +47,7 @@
         return actions;
     }
     if (m_queue.size() >= queueLimit()) {
-        actions.emplace_back(AdmissionRefuse {attempt, ResultCode::SlotsTaken});
+        actions.emplace_back(AdmissionRefuse {attempt, ResultCode::SlotsFull});
         return actions;
     }
     if (expectedStart(now) >= deadline) {
--- a/lib/call/fence.cpp
+++ b/lib/call/fence.cpp
@@ -24,13 +24,14 @@
     case ResultCode::NoEndpoint:
     case ResultCode::TargetUnreachable:
     case ResultCode::NotReady:
-    case ResultCode::SlotsTaken:
+    case ResultCode::TicketNotReached:
+    case ResultCode::SlotsFull:
     case ResultCode::StartTooLate:
     case ResultCode::TargetLeaving:
     case ResultCode::AttemptFenced:
     case ResultCode::EndpointElsewhere:
     case ResultCode::CallWithdrawn:
-    case ResultCode::NodeUnreachable:
+    case ResultCode::PeerUnreachable:
         return true;
     default:
         return false;
--- a/lib/call/outcome.cpp
+++ b/lib/call/outcome.cpp
@@ -116,7 +116,7 @@
     if (event.attempt != m_attempt || m_phase != Phase::Waiting) {
         return {};
     }
-    return retryOrFinish(RetryReason::NotSent, true, ResultCode::NodeUnreachable, budget, now);
+    return retryOrFinish(RetryReason::NotSent, true, ResultCode::PeerUnreachable, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::Refused &event, RetryBudget &budget, TimePoint now)
--- a/unittests/call/fencetest.cpp
+++ b/unittests/call/fencetest.cpp
@@ -72,9 +72,9 @@
 TEST_F(FenceTest, refusalIsFinal)
 {
     open(attempt(1));
-    m_table.refused(attempt(1), ResultCode::SlotsTaken, m_now);
+    m_table.refused(attempt(1), ResultCode::SlotsFull, m_now);
     EXPECT_EQ(open(attempt(1)), OpenVerdict::Refused);
-    EXPECT_EQ(m_table.refusalOf(attempt(1)), ResultCode::SlotsTaken);
+    EXPECT_EQ(m_table.refusalOf(attempt(1)), ResultCode::SlotsFull);
     EXPECT_EQ(fence(attempt(1)), FenceStatus::NotRun);
 }
 
@@ -130,7 +130,7 @@
 {
     for (std::uint64_t sequence = 1; sequence <= 50; ++sequence) {
         open(attempt(sequence));
-        m_table.refused(attempt(sequence), ResultCode::SlotsTaken, m_now);
+        m_table.refused(attempt(sequence), ResultCode::SlotsFull, m_now);
     }
     EXPECT_EQ(m_table.size(), 4U);
     EXPECT_EQ(open(attempt(1)), OpenVerdict::Unknown);
--- a/unittests/call/outcometest.cpp
+++ b/unittests/call/outcometest.cpp
@@ -19,7 +19,7 @@
 
 const Case Cases[] = {
     {"notSent", callevent::NotSent {1}, true, true, Outcome::NotRun},
-    {"refused", callevent::Refused {1, ResultCode::SlotsTaken}, true, true, Outcome::NotRun},
+    {"refused", callevent::Refused {1, ResultCode::SlotsFull}, true, true, Outcome::NotRun},
     {"leaving", callevent::Refused {1, ResultCode::TargetLeaving}, true, true, Outcome::NotRun},
     {"lost", callevent::Lost {1, ResultCode::OutcomeUnknown}, true, false, Outcome::Unknown},
     {"peerDead", callevent::PeerDead {1}, true, false, Outcome::Unknown},
@@ -120,9 +120,9 @@
 {
     RetryBudget budget {RetryLimits {}};
     CallMachine machine = waitingMachine(false, budget);
-    machine.step(callevent::Refused {1, ResultCode::SlotsTaken}, budget, Start);
+    machine.step(callevent::Refused {1, ResultCode::SlotsFull}, budget, Start);
     machine.step(callevent::EndpointChosen {}, budget, Start);
-    EXPECT_TRUE(machine.step(callevent::Refused {1, ResultCode::SlotsTaken}, budget, Start).empty());
+    EXPECT_TRUE(machine.step(callevent::Refused {1, ResultCode::SlotsFull}, budget, Start).empty());
     EXPECT_TRUE(machine.step(callevent::AnswerBegan {1}, budget, Start).empty());
     EXPECT_TRUE(machine.step(callevent::AnswerEnded {1}, budget, Start).empty());
     EXPECT_FALSE(machine.finished());
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -83,7 +83,7 @@
     }
     EXPECT_EQ(admission.running(), 2U);
     EXPECT_EQ(admission.waiting(), 2U);
-    EXPECT_EQ(refusalIn(admission.offer(attempt(5), Start + 1s, Start)), ResultCode::SlotsTaken);
+    EXPECT_EQ(refusalIn(admission.offer(attempt(5), Start + 1s, Start)), ResultCode::SlotsFull);
     const AdmissionActions next = admission.release(attempt(1), 10ms, Start);
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(std::get<AdmissionStart>(next.front()).attempt, attempt(3));
--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -309,7 +309,7 @@
                     reply(index, {concrete.attempt, Reply::Kind::Refused, concrete.code, {}, {}});
                 } else if constexpr (std::is_same_v<Action, targetaction::Fail>) {
                     const auto kind = m_sabotage.lieAboutLost ? Reply::Kind::Refused : Reply::Kind::Lost;
-                    const auto code = m_sabotage.lieAboutLost ? ResultCode::SlotsTaken : concrete.code;
+                    const auto code = m_sabotage.lieAboutLost ? ResultCode::SlotsFull : concrete.code;
                     reply(index, {concrete.attempt, kind, code, {}, {}});
                 } else if constexpr (std::is_same_v<Action, targetaction::ReplyToFence>) {
                     reply(index, {concrete.attempt, Reply::Kind::Fence, ResultCode::Ok, concrete.answer.status, {}});
