--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -1,6 +1,7 @@
 // Messages about calls that nodes send each other over links.
 #pragma once
 
+#include "jasminemast/call/attempt.h"
 #include "jasminemast/support/archive.h"
 #include "jasminemast/support/ids.h"
 #include "jasminemast/support/result.h"
@@ -24,6 +25,9 @@
     End = 21, ///< EndMessage: the answer is over
     Credit = 22, ///< CreditMessage: the asking node took answer bytes
     Cancel = 23, ///< CancelMessage: the asking node no longer wants the answer
+    Fence = 24, ///< FenceMessage: what became of an attempt whose link was lost
+    FenceReply = 25, ///< FenceReplyMessage; Head, Data and End follow when the attempt runs or is done
+    Announce = 26, ///< AnnounceMessage: an endpoint takes no new calls, or takes them again
 };
 
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
@@ -32,8 +36,9 @@
 struct OpenMessage
 {
     std::uint64_t stream = 0; ///< names the attempt on this link; chosen by the asking node
-    CallId call;
-    std::uint32_t attempt = 0; ///< 1 for the first
+    AttemptId attempt;
+    Incarnation peer; ///< process that the asking node means to reach
+    LinkGeneration generation; ///< of this link, as the asking node counts
     std::uint32_t remainingMs = 0; ///< time left until the deadline, when sent
     TicketNumber ticket; ///< configuration that the asking node routed by
     EndpointId endpoint;
@@ -46,7 +51,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(stream, call, attempt, remainingMs, ticket, endpoint, repeatable);
+        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable);
         archive(method, target, headers, bodyBytes);
     }
 };
@@ -57,11 +62,12 @@
     std::uint64_t stream = 0;
     std::uint32_t code = 0; ///< number of a ResultCode
     std::string detail;
+    float load = 0; ///< running and waiting attempts over the target's slots
 
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(stream, code, detail);
+        archive(stream, code, detail, load);
     }
 };
 
@@ -73,7 +79,7 @@
     HeaderFields headers;
     std::optional<std::uint64_t> length; ///< body length, when known
     TicketNumber ticket; ///< configuration of the answering node
-    float load = 0; ///< share of the target's slots in use, 0 to 1
+    float load = 0; ///< running and waiting attempts over the target's slots
 
     template<class Archive>
     void serialize(Archive &archive)
@@ -120,6 +126,46 @@
     }
 };
 
+/// Asks what became of an attempt, and has it refused for good if it never arrived.
+struct FenceMessage
+{
+    std::uint64_t stream = 0; ///< names the attempt on this link from now on
+    AttemptId attempt;
+    Incarnation peer; ///< process that the attempt was sent to
+    LinkGeneration generation; ///< of this link, as the asking node counts
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, attempt, peer, generation);
+    }
+};
+
+struct FenceReplyMessage
+{
+    std::uint64_t stream = 0;
+    std::uint8_t status = 0; ///< a FenceStatus
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(stream, status);
+    }
+};
+
+/// Tells whether an endpoint beside the sending node takes new calls.
+struct AnnounceMessage
+{
+    EndpointId endpoint;
+    bool leaving = false;
+
+    template<class Archive>
+    void serialize(Archive &archive)
+    {
+        archive(endpoint, leaving);
+    }
+};
+
 /// A piece of body: the stream number and then the bare bytes.
 struct DataFrame
 {
--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -110,6 +110,16 @@
     /// Running and waiting over slots; 0 for an unknown endpoint.
     [[nodiscard]] double load(const EndpointId &endpoint) const;
     [[nodiscard]] bool leaving(const EndpointId &endpoint) const;
+    /// True for the endpoints of the latest configuration.
+    [[nodiscard]] bool serves(const EndpointId &endpoint) const
+    {
+        return m_served.count(endpoint) != 0;
+    }
+    /// True while the attempt waits or runs.
+    [[nodiscard]] bool holds(const AttemptId &attempt) const
+    {
+        return m_accepted.count(attempt) != 0;
+    }
     /// Attempts that were accepted and have not ended.
     [[nodiscard]] std::size_t accepted() const
     {
@@ -156,7 +166,7 @@
     TargetLimits m_limits;
     FenceTable m_fence;
     std::map<EndpointId, Endpoint> m_endpoints; ///< also those that are gone but still run something
-    std::map<EndpointId, bool> m_served; ///< endpoints of the latest configuration
+    std::set<EndpointId> m_served; ///< endpoints of the latest configuration
     std::set<DrainReason> m_hostReasons; ///< reasons to leave that hold for the host, for endpoints still to come
     std::map<AttemptId, Accepted> m_accepted;
     Counters<ResultCode> m_refusals;
--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -119,6 +119,11 @@
 
     /// Stops accepting connections; open requests go on.
     void stopAccepting();
+    /// Requests whose answer has not gone out whole.
+    [[nodiscard]] std::size_t open() const
+    {
+        return m_open.size();
+    }
 
 private:
     friend class HttpExchange;
--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -97,6 +97,11 @@
     /// A user with work in flight holds the link: held links are probed for life and never idle out.
     void hold();
     void release();
+    /// True while frames wait to be written.
+    [[nodiscard]] bool hasPending() const
+    {
+        return m_batchOffset < m_batch.size() || !m_urgent.empty() || !m_bulk.empty();
+    }
     [[nodiscard]] bool isHeld() const
     {
         return m_holds > 0;
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -36,6 +36,9 @@
         return m_links.size();
     }
 
+    /// True while a link that is up has frames to write.
+    [[nodiscard]] bool hasPending() const;
+
     /// Calls \p visitor for every link that is up.
     void forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const;
 
--- a/include/jasminemast/node/callclient.h
+++ b/include/jasminemast/node/callclient.h
@@ -1,7 +1,7 @@
 // Sends attempts to other nodes over links and brings their answers back.
 #pragma once
 
-#include "jasminemast/net/linkpool.h"
+#include "jasminemast/net/link.h"
 #include "jasminemast/node/answersink.h"
 
 #include <map>
@@ -14,20 +14,23 @@
 class CallClient
 {
 public:
-    CallClient(Loop &loop, LinkPool &links);
-
+    CallClient();
     ~CallClient();
     CallClient(const CallClient &) = delete;
     CallClient &operator=(const CallClient &) = delete;
 
-    /// Starts an attempt on \p host. The sink is called later, never from within this call.
-    std::unique_ptr<AttemptHandle> open(const HostId &host, const SocketAddress &address, OpenMessage open,
-                                        const std::string &body, std::shared_ptr<AnswerSink> sink);
+    /// Starts an attempt on the peer of \p link. The sink is called later, never from within this call.
+    std::unique_ptr<AttemptHandle> open(const std::shared_ptr<Link> &link, OpenMessage open, const std::string &body,
+                                        std::shared_ptr<AnswerSink> sink);
+    /// Asks what became of an attempt that was sent over an earlier link.
+    std::unique_ptr<AttemptHandle> fence(const std::shared_ptr<Link> &link, FenceMessage fence,
+                                         std::shared_ptr<AnswerSink> sink);
 
-    /// Handles Refused, Head, Data and End.
+    /// Handles Refused, Head, Data, End and FenceReply.
     /// \throws ResultError with FrameMalformed, upon which the link is to be closed.
     void onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
-    void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
+    /// Forgets the attempts on \p link; their sinks are not told.
+    void onLinkDown(const std::shared_ptr<Link> &link);
 
 private:
     friend class RemoteHandle;
@@ -35,12 +38,12 @@
     struct Stream;
     using Key = std::pair<Link *, std::uint64_t>;
 
+    Key addStream(const std::shared_ptr<Link> &link, std::uint64_t stream, std::shared_ptr<AnswerSink> sink);
     std::shared_ptr<AnswerSink> sinkOf(const Key &key) const;
+    void onLastFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
     void cancel(const Key &key);
     void credit(const Key &key, std::size_t bytes);
 
-    Loop &m_loop;
-    LinkPool &m_links;
     std::uint64_t m_lastStream = 0;
     std::map<Key, std::unique_ptr<Stream>> m_streams;
 };
--- a/include/jasminemast/node/callserver.h
+++ b/include/jasminemast/node/callserver.h
@@ -1,6 +1,7 @@
 // Takes attempts from other nodes over links and gives them to the target side.
 #pragma once
 
+#include "jasminemast/call/pauseguard.h"
 #include "jasminemast/net/link.h"
 #include "jasminemast/node/targetside.h"
 
@@ -14,13 +15,13 @@
 class CallServer
 {
 public:
-    CallServer(TargetSide &target, const Clock &clock, std::size_t maxRequestBytes);
+    CallServer(TargetSide &target, const Clock &clock, const PauseGuard &pauseGuard, std::size_t maxRequestBytes);
 
     ~CallServer();
     CallServer(const CallServer &) = delete;
     CallServer &operator=(const CallServer &) = delete;
 
-    /// Handles Open, RequestBody, Credit and Cancel.
+    /// Handles Open, RequestBody, Credit, Cancel and Fence.
     /// \throws ResultError with FrameMalformed or RequestTooLarge, upon which the link is to be closed.
     void onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
     void onLinkDown(const std::shared_ptr<Link> &link);
@@ -31,12 +32,16 @@
     using Key = std::pair<Link *, std::uint64_t>;
 
     void onOpen(const std::shared_ptr<Link> &link, std::string_view payload);
+    void onFence(const std::shared_ptr<Link> &link, std::string_view payload);
+    void onCredit(const std::shared_ptr<Link> &link, std::string_view payload);
+    void onCancel(const std::shared_ptr<Link> &link, std::string_view payload);
     void onRequestBody(const std::shared_ptr<Link> &link, std::string_view payload);
     void startIfWhole(const std::shared_ptr<Link> &link, Stream &stream);
     void erase(const Key &key);
 
     TargetSide &m_target;
     const Clock &m_clock;
+    const PauseGuard &m_pauseGuard;
     std::size_t m_maxRequestBytes;
     std::map<Key, std::unique_ptr<Stream>> m_streams;
 };
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -1,12 +1,16 @@
-// The side of a node that callers talk to: routes each request, chooses an endpoint and brings the answer back.
+// The side of a node that callers talk to: carries out what EntryCore decides for their calls.
 #pragma once
 
-#include "jasminemast/net/httpserver.h"
+#include "jasminemast/call/entry.h"
+#include "jasminemast/call/pauseguard.h"
+#include "jasminemast/net/linkpool.h"
 #include "jasminemast/node/callclient.h"
+#include "jasminemast/node/entrycall.h"
 #include "jasminemast/node/targetside.h"
 #include "jasminemast/node/views.h"
-#include "jasminemast/support/random.h"
+#include "jasminemast/support/metrics.h"
 
+#include <map>
 #include <memory>
 #include <set>
 
@@ -18,47 +22,93 @@
 {
     Loop &loop;
     const Clock &clock;
-    Random &random;
+    const PauseGuard &pauseGuard;
     ConfigView &config;
     const FleetView &fleet;
     TargetSide &localTarget;
+    LinkPool &links;
     CallClient &remote;
 };
 
-class EntryCall;
-
 /// Carries the calls of this node's callers.
 class EntrySide
 {
 public:
-    EntrySide(EntryContext context, const NodeSettings &settings, Incarnation incarnation);
+    EntrySide(EntryContext context, const NodeSettings &settings, Incarnation incarnation, std::uint64_t seed);
+    ~EntrySide();
 
     /// Takes one request; answers it in time, whatever happens.
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+    /// Links that this node dialled.
+    void onLinkUp(const std::shared_ptr<Link> &link);
+    void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
+    void onAnnounced(const AnnounceMessage &announcement);
+
+    /// Asks callers to leave with their next answer.
+    void beginDrain()
+    {
+        m_draining = true;
+    }
+
     /// Calls that are not yet answered.
     [[nodiscard]] std::size_t open() const
     {
-        return m_calls.size();
+        return m_calls.size() + m_waiting;
+    }
+    [[nodiscard]] const EntryCore &core() const
+    {
+        return m_core;
+    }
+    [[nodiscard]] const LatencySummary &latencies() const
+    {
+        return m_latencies;
+    }
+    [[nodiscard]] std::uint64_t answered() const
+    {
+        return m_answered;
+    }
+    /// When a request last arrived or ended.
+    [[nodiscard]] TimePoint lastActivity() const
+    {
+        return m_lastActivity;
     }
 
 private:
-    friend class EntryCall;
+    class Sink;
 
-    /// Starts an attempt on the node beside \p endpoint.
-    std::unique_ptr<AttemptHandle> openAttempt(const Endpoint &endpoint, OpenMessage open, const std::string &body,
-                                               std::shared_ptr<AnswerSink> sink);
-    /// An endpoint of \p service that may be asked, not among \p avoided; null when there is none.
-    [[nodiscard]] const Endpoint *chooseEndpoint(const State &state, const Service &service,
-                                                 const std::set<EndpointId> &avoided);
+    void route(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline);
+    void perform(const EntryActions &actions);
+    void sendOpen(const entryaction::SendOpen &send);
+    void sendFence(const entryaction::SendFence &send);
+    void connect(const HostId &host);
+    void release(const std::shared_ptr<Link> &link);
+    void redial();
+    void finish(const entryaction::Finish &end);
+    [[nodiscard]] EntryCall *findCall(const CallId &id) const;
+    [[nodiscard]] std::shared_ptr<Link> linkTo(const HostId &host) const;
+    void followConfiguration();
+    [[nodiscard]] std::vector<Candidate> candidatesOf(const State &state, const Service &service) const;
+    void tick();
 
     EntryContext m_context;
     HostRecord m_self;
     std::uint16_t m_linkPort;
     CallSettings m_settings;
-    Incarnation m_incarnation;
-    std::uint64_t m_lastSequence = 0;
-    std::set<std::shared_ptr<EntryCall>> m_calls;
+    EntryCore m_core;
+    std::map<CallId, std::unique_ptr<EntryCall>> m_calls; ///< exactly the open calls of m_core
+    std::size_t m_waiting = 0; ///< requests that wait for a ticket before their call begins
+    std::map<HostId, std::shared_ptr<Link>> m_up; ///< dialled links that are up
+    std::set<std::shared_ptr<Link>> m_dialling; ///< links held by this side until they are up
+    std::map<HostId, TimePoint> m_dialledAt; ///< latest dialling of each host
+    std::set<HostId> m_redial; ///< hosts to dial again once RedialDelay is over
+    StatePtr m_followed; ///< configuration that m_core was told last
+    TimePoint m_followedAt;
+    LatencySummary m_latencies; ///< of answered calls, from the whole request to the end of the answer
+    std::uint64_t m_answered = 0;
+    TimePoint m_lastActivity;
+    bool m_draining = false;
+    Timer m_tickTimer;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -1,6 +1,7 @@
 // One node: joins the control side and the call side on one event loop.
 #pragma once
 
+#include "jasminemast/call/pauseguard.h"
 #include "jasminemast/node/callclient.h"
 #include "jasminemast/node/callserver.h"
 #include "jasminemast/node/directcontrol.h"
@@ -28,11 +29,15 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
+    void observeClock();
+    void announce(const EndpointId &endpoint, bool leaving);
 
     Loop &m_loop;
+    const Clock &m_clock;
     NodeSettings m_settings;
     Incarnation m_incarnation;
     Random m_random;
+    PauseGuard m_pauseGuard;
     DirectControl m_control;
     TargetSide m_target;
     LinkPool m_links;
@@ -44,6 +49,8 @@
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
     Timer m_drainTimer;
+    Timer m_pauseTimer;
+    TimePoint m_drainBegan;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -11,7 +11,9 @@
 class OperatorApi
 {
 public:
-    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control);
+    /// \p metrics gives the text of /metrics.
+    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control,
+                std::function<std::string()> metrics);
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange) const;
@@ -20,6 +22,7 @@
 
     const NodeSettings &m_settings;
     const DirectControl &m_control;
+    std::function<std::string()> m_metrics;
     HttpServer m_server;
 };
 
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -1,43 +1,88 @@
-// The side of a node that stands beside a target: admits attempts, runs them and streams the answers.
+// The side of a node that stands beside a target: carries out what TargetCore decides.
 #pragma once
 
+#include "jasminemast/call/target.h"
 #include "jasminemast/net/httpclient.h"
 #include "jasminemast/node/answersink.h"
+#include "jasminemast/node/targetattempt.h"
 #include "jasminemast/node/views.h"
 
+#include <functional>
 #include <map>
 #include <memory>
+#include <set>
 
 namespace jasminemast
 {
 
+/// Who the node beside the target is.
+struct TargetSideIdentity
+{
+    HostId host;
+    Incarnation incarnation;
+    std::string targetAddress; ///< IP number of the targets
+};
+
 /// Runs attempts on the targets of this host.
 class TargetSide
 {
 public:
-    TargetSide(Loop &loop, const ConfigView &config, HostId self, std::string targetAddress);
+    using Announcer = std::function<void(const EndpointId &, bool leaving)>;
+
+    TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
+               TargetSideIdentity identity, Announcer announcer);
 
-    /// Runs one attempt whose request body is whole. The sink is called later, never from within this call.
-    std::unique_ptr<AttemptHandle> open(OpenMessage open, std::string body, std::shared_ptr<AnswerSink> sink);
+    /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
+    /// never from within this call.
+    std::unique_ptr<AttemptHandle> open(const OpenMessage &open, std::string body, std::shared_ptr<AnswerSink> sink,
+                                        TimePoint arrived);
+    /// Answers a fence; the sink is called later.
+    std::unique_ptr<AttemptHandle> fence(const FenceMessage &fence, const std::shared_ptr<AnswerSink> &sink);
 
-    /// Attempts that are running.
-    [[nodiscard]] std::size_t running() const
+    /// Takes no new attempts from now on.
+    void beginDrain();
+
+    [[nodiscard]] const TargetCore &core() const
+    {
+        return m_core;
+    }
+    /// When an attempt last arrived, also one that was refused.
+    [[nodiscard]] TimePoint lastArrival() const
     {
-        return m_running;
+        return m_lastArrival;
     }
 
 private:
-    friend class RunningAttempt;
+    friend class TargetHandle;
 
-    [[nodiscard]] ResultCode admit(const OpenMessage &open, const Endpoint *endpoint) const;
+    void perform(const TargetActions &actions);
+    void start(const targetaction::Start &start);
+    void onDone(const AttemptId &attempt, const HttpClientResult &result, std::shared_ptr<const KeptAnswer> answer);
+    void cancel(const AttemptId &attempt);
+    void refuse(const targetaction::Refuse &refusal);
+    void answerFence(const AttemptId &attempt, const FenceAnswer &answer, const std::shared_ptr<AnswerSink> &sink);
+    void dropEnded(const AttemptId &attempt);
+    void tick();
+    void followConfiguration();
+    void probeHealth();
+    [[nodiscard]] std::string urlOf(const EndpointId &endpoint) const;
 
     Loop &m_loop;
+    const Clock &m_clock;
     const ConfigView &m_config;
-    HostId m_self;
-    std::string m_targetAddress;
+    const FleetView &m_fleet;
+    TargetSideIdentity m_identity;
+    Announcer m_announcer;
     HttpClient m_http;
-    std::size_t m_running = 0;
-    std::map<EndpointId, unsigned> m_slotsUsed;
+    HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
+    TargetCore m_core;
+    StatePtr m_followed; ///< configuration that m_core was told last
+    std::map<EndpointId, std::uint16_t> m_ports; ///< also of endpoints that are gone but still run something
+    std::map<AttemptId, std::shared_ptr<TargetAttempt>> m_attempts; ///< exactly the attempts that m_core holds
+    std::set<EndpointId> m_probing; ///< endpoints whose health page is being read
+    TimePoint m_lastArrival;
+    Timer m_tickTimer;
+    Timer m_probeTimer;
 };
 
 } // namespace jasminemast
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -18,7 +18,7 @@
     TargetActions actions;
     m_served.clear();
     for (const LocalEndpoint &endpoint : endpoints) {
-        m_served.emplace(endpoint.id, true);
+        m_served.insert(endpoint.id);
         AdmissionLimits limits = m_limits.admission;
         limits.slots = endpoint.slots;
         auto [place, added] = m_endpoints.try_emplace(endpoint.id, Endpoint {Admission(limits), Drain(m_limits.drain)});
@@ -236,8 +236,8 @@
     }
     for (const AttemptId &attempt : overdue) {
         const TargetActions lost = onLost(attempt, ResultCode::DeadlineExceeded, now);
-        actions.emplace_back(targetaction::Abort {attempt});
         actions.insert(actions.end(), lost.begin(), lost.end());
+        actions.emplace_back(targetaction::Abort {attempt});
     }
     m_fence.expire(now);
     return actions;
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -89,7 +89,7 @@
     setSocketOptions(m_socket.get());
     if (::connect(m_socket.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0
         && errno != EINPROGRESS) {
-        close(ResultCode::LinkLost);
+        close(errno == ECONNREFUSED ? ResultCode::LinkRefused : ResultCode::LinkLost);
         return;
     }
     m_connecting = true;
@@ -203,7 +203,7 @@
     socklen_t size = sizeof(error);
     ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
-        close(ResultCode::LinkLost);
+        close(error == ECONNREFUSED ? ResultCode::LinkRefused : ResultCode::LinkLost);
         return;
     }
     m_connecting = false;
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -3,6 +3,7 @@
 
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <cstring>
 #include <vector>
@@ -70,6 +71,12 @@
     }
 }
 
+bool LinkPool::hasPending() const
+{
+    return std::any_of(m_links.begin(), m_links.end(),
+                       [](const auto &link) { return link->isUp() && link->hasPending(); });
+}
+
 std::shared_ptr<Link> LinkPool::makeLink()
 {
     Link::Handlers handlers = m_handlers;
--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -51,22 +51,23 @@
     CallClient::Key m_key;
 };
 
-CallClient::CallClient(Loop &loop, LinkPool &links)
-    : m_loop(loop)
-    , m_links(links)
+CallClient::CallClient() = default;
+CallClient::~CallClient() = default;
+
+CallClient::Key CallClient::addStream(const std::shared_ptr<Link> &link, std::uint64_t stream,
+                                      std::shared_ptr<AnswerSink> sink)
 {
+    const Key key(link.get(), stream);
+    m_streams.emplace(key, std::make_unique<Stream>(link, std::move(sink)));
+    return key;
 }
 
-CallClient::~CallClient() = default;
-
-std::unique_ptr<AttemptHandle> CallClient::open(const HostId &host, const SocketAddress &address, OpenMessage open,
+std::unique_ptr<AttemptHandle> CallClient::open(const std::shared_ptr<Link> &link, OpenMessage open,
                                                 const std::string &body, std::shared_ptr<AnswerSink> sink)
 {
-    const auto link = m_links.connect(host, address);
     open.stream = ++m_lastStream;
     open.bodyBytes = body.size();
-    const Key key(link.get(), open.stream);
-    m_streams.emplace(key, std::make_unique<Stream>(link, std::move(sink)));
+    const Key key = addStream(link, open.stream, std::move(sink));
     link->send(static_cast<FrameType>(CallFrame::Open), encodeMessage(open));
     std::string_view rest(body);
     while (!rest.empty()) {
@@ -78,6 +79,15 @@
     return std::make_unique<RemoteHandle>(*this, key);
 }
 
+std::unique_ptr<AttemptHandle> CallClient::fence(const std::shared_ptr<Link> &link, FenceMessage fence,
+                                                 std::shared_ptr<AnswerSink> sink)
+{
+    fence.stream = ++m_lastStream;
+    const Key key = addStream(link, fence.stream, std::move(sink));
+    link->send(static_cast<FrameType>(CallFrame::Fence), encodeMessage(fence));
+    return std::make_unique<RemoteHandle>(*this, key);
+}
+
 std::shared_ptr<AnswerSink> CallClient::sinkOf(const Key &key) const
 {
     const auto found = m_streams.find(key);
@@ -100,6 +110,21 @@
         }
         return;
     }
+    if (type == CallFrame::FenceReply) {
+        const auto reply = decodeMessage<FenceReplyMessage>(payload, ResultCode::FrameMalformed);
+        if (reply.status > static_cast<std::uint8_t>(FenceStatus::Unknown)) {
+            throw ResultError(ResultCode::FrameMalformed, "unknown fence status");
+        }
+        if (const auto sink = sinkOf({link.get(), reply.stream})) {
+            sink->fenced(static_cast<FenceStatus>(reply.status));
+        }
+        return;
+    }
+    onLastFrame(link, type, payload);
+}
+
+void CallClient::onLastFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload)
+{
     if (type == CallFrame::End) {
         const auto message = decodeMessage<EndMessage>(payload, ResultCode::FrameMalformed);
         const Key key(link.get(), message.stream);
@@ -115,22 +140,22 @@
         const Key key(link.get(), message.stream);
         if (const auto sink = sinkOf(key)) {
             m_streams.erase(key);
-            sink->refused(resultFromNumber(static_cast<int>(message.code)).value_or(ResultCode::NoEndpoint),
-                          message.detail);
+            sink->refused(resultFromNumber(static_cast<int>(message.code)).value_or(ResultCode::OutcomeUnknown),
+                          message.detail, message.load);
         }
         return;
     }
     throw ResultError(ResultCode::FrameMalformed, "unknown frame type");
 }
 
-void CallClient::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
+void CallClient::onLinkDown(const std::shared_ptr<Link> &link)
 {
-    auto position = m_streams.lower_bound({link.get(), 0});
-    while (position != m_streams.end() && position->first.first == link.get()) {
-        const auto sink = position->second->sink;
-        position = m_streams.erase(position);
-        m_loop.post([sink, reason] { sink->end(reason, "link down"); });
+    const auto first = m_streams.lower_bound({link.get(), 0});
+    auto last = first;
+    while (last != m_streams.end() && last->first.first == link.get()) {
+        ++last;
     }
+    m_streams.erase(first, last);
 }
 
 void CallClient::cancel(const Key &key)
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -25,7 +25,7 @@
 
     std::shared_ptr<Link> link;
     OpenMessage open;
-    TimePoint arrived;
+    TimePoint arrived; ///< earliest time at which the message may have reached this host
     std::string body;
     std::unique_ptr<AttemptHandle> attempt; ///< null until the request body is whole
 };
@@ -41,9 +41,9 @@
     {
     }
 
-    void refused(ResultCode code, const std::string &detail) override
+    void refused(ResultCode code, const std::string &detail, float load) override
     {
-        const RefusedMessage message {m_stream, static_cast<std::uint32_t>(number(code)), detail};
+        const RefusedMessage message {m_stream, static_cast<std::uint32_t>(number(code)), detail, load};
         m_link->send(static_cast<FrameType>(CallFrame::Refused), encodeMessage(message));
         m_server.erase({m_link.get(), m_stream});
     }
@@ -72,15 +72,26 @@
         m_server.erase({m_link.get(), m_stream});
     }
 
+    void fenced(FenceStatus status) override
+    {
+        const FenceReplyMessage message {m_stream, static_cast<std::uint8_t>(status)};
+        m_link->send(static_cast<FrameType>(CallFrame::FenceReply), encodeMessage(message));
+        if (status != FenceStatus::Running && status != FenceStatus::Done) {
+            m_server.erase({m_link.get(), m_stream});
+        }
+    }
+
 private:
     CallServer &m_server;
     std::shared_ptr<Link> m_link;
     std::uint64_t m_stream;
 };
 
-CallServer::CallServer(TargetSide &target, const Clock &clock, std::size_t maxRequestBytes)
+CallServer::CallServer(TargetSide &target, const Clock &clock, const PauseGuard &pauseGuard,
+                       std::size_t maxRequestBytes)
     : m_target(target)
     , m_clock(clock)
+    , m_pauseGuard(pauseGuard)
     , m_maxRequestBytes(maxRequestBytes)
 {
 }
@@ -98,29 +109,56 @@
         return;
     }
     if (type == CallFrame::Credit) {
-        const auto message = decodeMessage<CreditMessage>(payload, ResultCode::FrameMalformed);
-        const auto found = m_streams.find({link.get(), message.stream});
-        if (found != m_streams.end() && found->second->attempt) {
-            found->second->attempt->credit(message.bytes);
-        }
+        onCredit(link, payload);
         return;
     }
     if (type == CallFrame::Cancel) {
-        const auto message = decodeMessage<CancelMessage>(payload, ResultCode::FrameMalformed);
-        const auto found = m_streams.find({link.get(), message.stream});
-        if (found == m_streams.end()) {
-            return;
-        }
-        if (found->second->attempt) {
-            found->second->attempt->cancel();
-        }
-        link->dropBulk(StreamId(message.stream));
-        m_streams.erase(found);
+        onCancel(link, payload);
+        return;
+    }
+    if (type == CallFrame::Fence) {
+        onFence(link, payload);
         return;
     }
     throw ResultError(ResultCode::FrameMalformed, "unknown frame type");
 }
 
+void CallServer::onCredit(const std::shared_ptr<Link> &link, std::string_view payload)
+{
+    const auto message = decodeMessage<CreditMessage>(payload, ResultCode::FrameMalformed);
+    const auto found = m_streams.find({link.get(), message.stream});
+    if (found != m_streams.end() && found->second->attempt) {
+        found->second->attempt->credit(message.bytes);
+    }
+}
+
+void CallServer::onCancel(const std::shared_ptr<Link> &link, std::string_view payload)
+{
+    const auto message = decodeMessage<CancelMessage>(payload, ResultCode::FrameMalformed);
+    const auto found = m_streams.find({link.get(), message.stream});
+    if (found == m_streams.end()) {
+        return;
+    }
+    if (found->second->attempt) {
+        found->second->attempt->cancel();
+    }
+    link->dropBulk(StreamId(message.stream));
+    m_streams.erase(found);
+}
+
+void CallServer::onFence(const std::shared_ptr<Link> &link, std::string_view payload)
+{
+    const auto fence = decodeMessage<FenceMessage>(payload, ResultCode::FrameMalformed);
+    const Key key(link.get(), fence.stream);
+    if (m_streams.contains(key)) {
+        throw ResultError(ResultCode::FrameMalformed, "stream opened twice");
+    }
+    auto stream = std::make_unique<Stream>(link);
+    stream->arrived = m_clock.now();
+    stream->attempt = m_target.fence(fence, std::make_shared<LinkSink>(*this, link, fence.stream));
+    m_streams.emplace(key, std::move(stream));
+}
+
 void CallServer::onOpen(const std::shared_ptr<Link> &link, std::string_view payload)
 {
     auto open = decodeMessage<OpenMessage>(payload, ResultCode::FrameMalformed);
@@ -133,7 +171,7 @@
     }
     auto stream = std::make_unique<Stream>(link);
     stream->open = std::move(open);
-    stream->arrived = m_clock.now();
+    stream->arrived = m_clock.now() - m_pauseGuard.inputAge(m_clock.now());
     Stream &opened = *stream;
     m_streams.emplace(key, std::move(stream));
     startIfWhole(link, opened);
@@ -159,11 +197,9 @@
     if (stream.body.size() < stream.open.bodyBytes) {
         return;
     }
-    const auto waited = std::chrono::duration_cast<Milliseconds>(m_clock.now() - stream.arrived).count();
-    OpenMessage open = stream.open;
-    open.remainingMs -= static_cast<std::uint32_t>(std::min<std::int64_t>(waited, open.remainingMs));
+    const OpenMessage open = stream.open;
     const auto sink = std::make_shared<LinkSink>(*this, link, open.stream);
-    stream.attempt = m_target.open(std::move(open), std::move(stream.body), sink);
+    stream.attempt = m_target.open(open, std::move(stream.body), sink, stream.arrived);
 }
 
 void CallServer::erase(const Key &key)
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -1,60 +1,326 @@
-// Choice of an endpoint and start of attempts.
+// Carries out the decisions for the calls of this node's callers.
 #include "jasminemast/node/entryside.h"
 
-#include "jasminemast/node/entrycall.h"
+#include <algorithm>
+#include <type_traits>
 
 namespace jasminemast
 {
 
-EntrySide::EntrySide(EntryContext context, const NodeSettings &settings, Incarnation incarnation)
+namespace
+{
+
+constexpr Milliseconds TickInterval {10};
+/// How often the host list is looked at while the ticket stays the same.
+constexpr Milliseconds FollowInterval {500};
+/// Least time between two diallings of one host.
+constexpr Milliseconds RedialDelay {50};
+
+} // namespace
+
+/// Passes what comes back for one attempt to the core, and the answer to the call while the core awaits it.
+class EntrySide::Sink final : public AnswerSink
+{
+public:
+    Sink(EntrySide &side, AttemptId attempt)
+        : m_side(side)
+        , m_attempt(std::move(attempt))
+    {
+    }
+
+    void refused(ResultCode code, const std::string & /*detail*/, float load) override
+    {
+        const TimePoint now = m_side.m_context.clock.now();
+        m_side.m_core.onLoad(m_attempt, load, now);
+        if (isNotRun(code)) {
+            m_side.perform(m_side.m_core.onRefused(m_attempt, code, now));
+        } else {
+            m_side.perform(m_side.m_core.onLost(m_attempt, code, now));
+        }
+    }
+
+    void head(const HeadMessage &head) override
+    {
+        const TimePoint now = m_side.m_context.clock.now();
+        if (!m_side.m_core.awaits(m_attempt)) {
+            return;
+        }
+        m_side.m_core.onLoad(m_attempt, head.load, now);
+        m_side.perform(m_side.m_core.onAnswerBegan(m_attempt, now));
+        m_side.findCall(m_attempt.call)->passHead(head, m_side.m_draining);
+    }
+
+    void data(std::string_view bytes) override
+    {
+        if (m_side.m_core.awaits(m_attempt)) {
+            m_side.findCall(m_attempt.call)->passData(bytes);
+        }
+    }
+
+    void end(ResultCode code, const std::string & /*detail*/) override
+    {
+        const TimePoint now = m_side.m_context.clock.now();
+        if (code == ResultCode::Ok) {
+            m_side.perform(m_side.m_core.onAnswerEnded(m_attempt, now));
+        } else {
+            m_side.perform(m_side.m_core.onLost(m_attempt, code, now));
+        }
+    }
+
+    void fenced(FenceStatus status) override
+    {
+        m_side.perform(m_side.m_core.onFenceReplied(m_attempt, status, m_side.m_context.clock.now()));
+    }
+
+private:
+    EntrySide &m_side;
+    AttemptId m_attempt;
+};
+
+EntrySide::EntrySide(EntryContext context, const NodeSettings &settings, Incarnation incarnation, std::uint64_t seed)
     : m_context(context)
     , m_self(settings.self)
     , m_linkPort(settings.linkPort)
     , m_settings(settings.calls)
-    , m_incarnation(incarnation)
+    , m_core(EntryPlace {settings.self.host, incarnation, settings.self.zone, settings.self.region}, EntryLimits {},
+             seed)
+    , m_tickTimer(context.loop, [this] { tick(); })
 {
+    // The target beside this node is reached without a link.
+    m_core.onLinkUp(m_self.host, incarnation, m_context.clock.now());
+    m_tickTimer.startRepeating(TickInterval);
 }
 
+EntrySide::~EntrySide() = default;
+
 void EntrySide::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
-    CallId id;
-    id.node = m_self.host;
-    id.incarnation = m_incarnation;
-    id.sequence = ++m_lastSequence;
-    const auto call = std::make_shared<EntryCall>(*this, exchange, id);
-    m_calls.insert(call);
-    call->start();
+    const TimePoint now = m_context.clock.now();
+    m_lastActivity = now;
+    const CallerLimits limits = callerLimits(exchange->request().headers, m_settings.defaultDeadline);
+    const TimePoint arrived = now - m_context.pauseGuard.inputAge(now);
+    const TimePoint deadline = arrived + limits.deadline;
+    if (limits.seen <= m_context.config.current()->number) {
+        route(exchange, arrived, deadline);
+        return;
+    }
+    ++m_waiting;
+    m_context.config.whenReached(limits.seen, deadline, [this, exchange, arrived, deadline](bool reached) {
+        --m_waiting;
+        if (reached) {
+            route(exchange, arrived, deadline);
+            return;
+        }
+        respondWithoutAnswer(*exchange, m_context.config.current()->number, Outcome::NotRun,
+                             ResultCode::TicketNotReached, m_draining);
+    });
+}
+
+void EntrySide::route(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline)
+{
+    followConfiguration();
+    const HttpRequest &request = exchange->request();
+    const StatePtr state = m_context.config.current();
+    const Route *route = state->findRoute(request.method, request.path());
+    if (route == nullptr) {
+        respondWithoutAnswer(*exchange, state->number, Outcome::NotRun, ResultCode::NoRoute, m_draining);
+        return;
+    }
+    CallSpec spec;
+    spec.service = route->service;
+    spec.repeatable = route->isRepeatable(request.method);
+    spec.deadline = std::min(deadline, arrived + route->timeout);
+    const EntryCore::Begun begun = m_core.begin(spec, m_context.clock.now());
+    m_calls.emplace(begun.call, std::make_unique<EntryCall>(exchange, state, route, arrived));
+    exchange->setCancelHandler([this, id = begun.call] { perform(m_core.onCallerGone(id, m_context.clock.now())); });
+    perform(begun.actions);
+}
+
+EntryCall *EntrySide::findCall(const CallId &id) const
+{
+    const auto found = m_calls.find(id);
+    return found == m_calls.end() ? nullptr : found->second.get();
 }
 
-const Endpoint *EntrySide::chooseEndpoint(const State &state, const Service &service,
-                                          const std::set<EndpointId> &avoided)
+std::shared_ptr<Link> EntrySide::linkTo(const HostId &host) const
 {
-    std::vector<const Endpoint *> near;
-    std::vector<const Endpoint *> far;
+    const auto found = m_up.find(host);
+    return found == m_up.end() ? nullptr : found->second;
+}
+
+void EntrySide::perform(const EntryActions &actions)
+{
+    for (const EntryAction &action : actions) {
+        std::visit(
+            [this](const auto &concrete) {
+                using Action = std::decay_t<decltype(concrete)>;
+                if constexpr (std::is_same_v<Action, entryaction::SendOpen>) {
+                    sendOpen(concrete);
+                } else if constexpr (std::is_same_v<Action, entryaction::SendFence>) {
+                    sendFence(concrete);
+                } else if constexpr (std::is_same_v<Action, entryaction::Connect>) {
+                    connect(concrete.host);
+                } else if constexpr (std::is_same_v<Action, entryaction::Finish>) {
+                    finish(concrete);
+                } else {
+                    if (EntryCall *call = findCall(concrete.attempt.call)) {
+                        call->cancelAttempt();
+                    }
+                }
+            },
+            action);
+    }
+}
+
+void EntrySide::sendOpen(const entryaction::SendOpen &send)
+{
+    EntryCall *call = findCall(send.request.attempt.call);
+    if (call == nullptr) {
+        return;
+    }
+    const auto sink = std::make_shared<Sink>(*this, send.request.attempt);
+    if (send.host == m_self.host) {
+        call->setHandle(
+            m_context.localTarget.open(call->makeOpen(send.request), call->body(), sink, m_context.clock.now()));
+        return;
+    }
+    // A link that was lost in this very turn of the loop is reported to the core afterwards.
+    if (const auto link = linkTo(send.host)) {
+        call->setHandle(m_context.remote.open(link, call->makeOpen(send.request), call->body(), sink));
+    }
+}
+
+void EntrySide::sendFence(const entryaction::SendFence &send)
+{
+    EntryCall *call = findCall(send.request.attempt.call);
+    const auto link = linkTo(send.host);
+    if (call == nullptr || link == nullptr) {
+        return;
+    }
+    const FenceMessage fence {0, send.request.attempt, send.request.target, send.request.generation};
+    call->setHandle(m_context.remote.fence(link, fence, std::make_shared<Sink>(*this, send.request.attempt)));
+}
+
+void EntrySide::connect(const HostId &host)
+{
+    const HostView *view = m_context.fleet.findHost(host);
+    if (view == nullptr) {
+        m_context.loop.post([this, host] { perform(m_core.onUnreachable(host, false, m_context.clock.now())); });
+        return;
+    }
+    const TimePoint now = m_context.clock.now();
+    const auto [last, first] = m_dialledAt.try_emplace(host, now);
+    if (!first && now - last->second < RedialDelay) {
+        m_redial.insert(host);
+        return;
+    }
+    last->second = now;
+    const auto link = m_context.links.connect(host, SocketAddress {view->record.address, m_linkPort});
+    // Held, a link that never comes up is given up for its silence.
+    if (!link->isUp() && m_dialling.insert(link).second) {
+        link->hold();
+    }
+}
+
+void EntrySide::release(const std::shared_ptr<Link> &link)
+{
+    if (m_dialling.erase(link) > 0) {
+        link->release();
+    }
+}
+
+void EntrySide::redial()
+{
+    std::set<HostId> due;
+    due.swap(m_redial);
+    for (const HostId &host : due) {
+        connect(host);
+    }
+}
+
+void EntrySide::onLinkUp(const std::shared_ptr<Link> &link)
+{
+    release(link);
+    const HostId host = link->peer().host;
+    m_up[host] = link;
+    perform(m_core.onLinkUp(host, link->peer().incarnation, m_context.clock.now()));
+}
+
+void EntrySide::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
+{
+    release(link);
+    const HostId host = link->peer().host;
+    const TimePoint now = m_context.clock.now();
+    const auto up = m_up.find(host);
+    if (up != m_up.end() && up->second == link) {
+        m_up.erase(up);
+        perform(m_core.onLinkDown(host, now));
+        return;
+    }
+    perform(m_core.onUnreachable(host, reason == ResultCode::LinkRefused, now));
+}
+
+void EntrySide::onAnnounced(const AnnounceMessage &announcement)
+{
+    m_core.onAnnounced(announcement.endpoint, announcement.leaving, m_context.clock.now());
+}
+
+void EntrySide::finish(const entryaction::Finish &end)
+{
+    const auto found = m_calls.find(end.call);
+    if (found == m_calls.end()) {
+        return;
+    }
+    const std::unique_ptr<EntryCall> call = std::move(found->second);
+    m_calls.erase(found);
+    const TimePoint now = m_context.clock.now();
+    m_lastActivity = now;
+    if (end.outcome == Outcome::Answered) {
+        ++m_answered;
+        m_latencies.add(now - call->began());
+    }
+    call->finish(end.outcome, end.code, m_draining);
+}
+
+std::vector<Candidate> EntrySide::candidatesOf(const State &state, const Service &service) const
+{
+    std::vector<Candidate> live;
+    std::vector<Candidate> silent;
     for (const EndpointId &id : service.endpoints) {
-        const Endpoint *endpoint = state.endpoints.at(id).get();
-        const HostView *host = m_context.fleet.findHost(endpoint->host);
-        if (avoided.contains(id) || endpoint->draining || host == nullptr || host->state != HostState::Live) {
+        const Endpoint &endpoint = *state.endpoints.at(id);
+        const HostView *host = m_context.fleet.findHost(endpoint.host);
+        if (host == nullptr) {
             continue;
         }
-        (host->record.zone == m_self.zone ? near : far).push_back(endpoint);
+        const bool leaving = endpoint.draining || host->state == HostState::Leaving;
+        const Candidate candidate {id, endpoint.host, host->record.zone, host->record.region, endpoint.slots, leaving};
+        (host->state == HostState::Dead ? silent : live).push_back(candidate);
     }
-    const auto &candidates = near.empty() ? far : near;
-    if (candidates.empty()) {
-        return nullptr;
-    }
-    return candidates[m_context.random.below(candidates.size())];
+    // When no host answers, the fault may be on this side: go on trying.
+    return live.empty() ? silent : live;
 }
 
-std::unique_ptr<AttemptHandle> EntrySide::openAttempt(const Endpoint &endpoint, OpenMessage open,
-                                                      const std::string &body, std::shared_ptr<AnswerSink> sink)
+void EntrySide::followConfiguration()
 {
-    if (endpoint.host == m_self.host) {
-        return m_context.localTarget.open(std::move(open), body, std::move(sink));
+    const TimePoint now = m_context.clock.now();
+    const StatePtr state = m_context.config.current();
+    if (state == m_followed && now - m_followedAt < FollowInterval) {
+        return;
+    }
+    m_followed = state;
+    m_followedAt = now;
+    std::map<ServiceId, std::vector<Candidate>> services;
+    for (const auto &[id, service] : state->services) {
+        services.emplace(id, candidatesOf(*state, *service));
     }
-    const HostView *host = m_context.fleet.findHost(endpoint.host);
-    const SocketAddress address {host->record.address, m_linkPort};
-    return m_context.remote.open(endpoint.host, address, std::move(open), body, std::move(sink));
+    m_core.setServices(std::move(services), now);
+}
+
+void EntrySide::tick()
+{
+    followConfiguration();
+    redial();
+    perform(m_core.tick(m_context.clock.now()));
 }
 
 } // namespace jasminemast
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -1,8 +1,10 @@
 // Wiring of one node's tasks.
 #include "jasminemast/node/node.h"
 
+#include "jasminemast/node/callmetrics.h"
 #include "jasminemast/support/events.h"
 
+#include <algorithm>
 #include <csignal>
 #include <random>
 
@@ -13,6 +15,9 @@
 {
 
 constexpr Milliseconds DrainCheckInterval {20};
+/// Callers and other nodes have this long to hear that the node leaves before it exits.
+constexpr Milliseconds DrainQuietTime {500};
+constexpr Milliseconds PauseCheckInterval {100};
 
 Incarnation startTimeAsIncarnation(const Clock &clock)
 {
@@ -29,35 +34,44 @@
 
 bool isAnswerFrame(CallFrame type)
 {
-    return type == CallFrame::Refused || type == CallFrame::Head || type == CallFrame::Data || type == CallFrame::End;
+    return type == CallFrame::Refused || type == CallFrame::Head || type == CallFrame::Data || type == CallFrame::End
+        || type == CallFrame::FenceReply;
 }
 
 } // namespace
 
 Node::Node(Loop &loop, const Clock &clock, NodeSettings settings)
     : m_loop(loop)
+    , m_clock(clock)
     , m_settings(std::move(settings))
     , m_incarnation(startTimeAsIncarnation(clock))
     , m_random(std::random_device {}())
+    , m_pauseGuard(PauseLimits {}, clock.now())
     , m_control(loop, clock, m_settings)
-    , m_target(loop, m_control, m_settings.self.host, m_settings.targetAddress)
+    , m_target(loop, clock, m_control, m_control,
+               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress},
+               [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
     , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
-    , m_callServer(m_target, clock, m_settings.calls.maxRequestBytes)
-    , m_callClient(loop, m_links)
-    , m_entry(EntryContext {loop, clock, m_random, m_control, m_control, m_target, m_callClient}, m_settings,
-              m_incarnation)
+    , m_callServer(m_target, clock, m_pauseGuard, m_settings.calls.maxRequestBytes)
+    , m_entry(EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient},
+              m_settings, m_incarnation, m_random.below(UINT64_MAX))
     , m_callerServer(
           loop, SocketAddress {m_settings.self.address, m_settings.callerPort}, callerLimits(m_settings),
-          [this](const std::shared_ptr<HttpExchange> &exchange) { m_entry.handle(exchange); },
+          [this](const std::shared_ptr<HttpExchange> &exchange) {
+              observeClock();
+              m_entry.handle(exchange);
+          },
           [](ResultCode code) {
               logEvent(Event::CallRefused, {{"code", std::to_string(number(code))}});
           })
-    , m_operators(loop, m_settings, m_control)
+    , m_operators(loop, m_settings, m_control, [this] { return renderCallMetrics(m_entry, m_target); })
     , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
     , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
     , m_drainTimer(loop, [this] { checkDrained(); })
+    , m_pauseTimer(loop, [this] { observeClock(); })
 {
+    m_pauseTimer.startRepeating(PauseCheckInterval);
 }
 
 void Node::run()
@@ -77,8 +91,11 @@
     handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view payload) {
         onFrame(link, type, payload);
     };
-    handlers.onUp = [](const std::shared_ptr<Link> &link) {
+    handlers.onUp = [this](const std::shared_ptr<Link> &link) {
         logEvent(Event::LinkUp, {{"peer", link->peer().host.value()}});
+        if (link->isOutgoing()) {
+            m_entry.onLinkUp(link);
+        }
     };
     handlers.onDown = [this](const std::shared_ptr<Link> &link, ResultCode reason) {
         onLinkDown(link, reason);
@@ -88,7 +105,12 @@
 
 void Node::onFrame(const std::shared_ptr<Link> &link, FrameType type, std::string_view payload)
 {
+    observeClock();
     const auto frame = static_cast<CallFrame>(type);
+    if (frame == CallFrame::Announce) {
+        m_entry.onAnnounced(decodeMessage<AnnounceMessage>(payload, ResultCode::FrameMalformed));
+        return;
+    }
     if (isAnswerFrame(frame)) {
         m_callClient.onFrame(link, frame, payload);
         return;
@@ -99,22 +121,50 @@
 void Node::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
 {
     logEvent(Event::LinkDown, {{"peer", link->peer().host.value()}, {"reason", std::to_string(number(reason))}});
-    m_callClient.onLinkDown(link, reason);
+    m_callClient.onLinkDown(link);
     m_callServer.onLinkDown(link);
+    if (link->isOutgoing()) {
+        m_entry.onLinkDown(link, reason);
+    }
 }
 
 void Node::beginDrain()
 {
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
+    m_drainBegan = m_clock.now();
     m_callerServer.stopAccepting();
+    m_entry.beginDrain();
+    m_target.beginDrain();
     m_drainTimer.startRepeating(DrainCheckInterval);
 }
 
 void Node::checkDrained()
 {
-    if (m_entry.open() == 0 && m_target.running() == 0) {
+    const bool busy = m_entry.open() > 0 || m_target.core().accepted() > 0 || m_callerServer.open() > 0;
+    if (busy || m_links.hasPending()) {
+        return;
+    }
+    const TimePoint last = std::max({m_drainBegan, m_entry.lastActivity(), m_target.lastArrival()});
+    if (m_clock.now() - last >= DrainQuietTime) {
         m_loop.stop();
     }
 }
 
+void Node::observeClock()
+{
+    if (const auto pause = m_pauseGuard.observe(m_clock.now())) {
+        const auto length = std::chrono::duration_cast<Milliseconds>(*pause);
+        logEvent(Event::PauseEnded, {{"ms", std::to_string(length.count())}});
+    }
+}
+
+void Node::announce(const EndpointId &endpoint, bool leaving)
+{
+    const std::string payload = encodeMessage(AnnounceMessage {endpoint, leaving});
+    m_entry.onAnnounced(AnnounceMessage {endpoint, leaving});
+    m_links.forEachUp([&payload](const std::shared_ptr<Link> &link) {
+        link->send(static_cast<FrameType>(CallFrame::Announce), payload);
+    });
+}
+
 } // namespace jasminemast
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -16,9 +16,11 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control)
+OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control,
+                         std::function<std::string()> metrics)
     : m_settings(settings)
     , m_control(control)
+    , m_metrics(std::move(metrics))
     , m_server(
           loop, {settings.self.address, settings.operatorPort}, HttpServerLimits {},
           [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); }, [](ResultCode) {})
@@ -35,6 +37,8 @@
     } else if (path == "/v1/ready") {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
+    } else if (path == "/metrics") {
+        exchange->respond(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics());
     } else {
         exchange->respond(StatusNotFound, JsonHeaders, "{\"error\":\"no such page\"}\n");
     }
--- /dev/null
+++ b/lib/node/targetattempt.cpp
@@ -0,0 +1,152 @@
+// The transfer of one attempt and the record of its answer.
+#include "jasminemast/node/targetattempt.h"
+
+#include "jasminemast/call/fence.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+HttpHeaders requestHeaders(const OpenMessage &open, Milliseconds remaining)
+{
+    HttpHeaders headers;
+    for (const auto &[name, value] : open.headers) {
+        headers.push_back({name, value});
+    }
+    headers.push_back({"Jasminemast-Deadline-Ms", std::to_string(remaining.count())});
+    headers.push_back({"Jasminemast-Ticket", std::to_string(open.ticket.value())});
+    return headers;
+}
+
+} // namespace
+
+TargetAttempt::TargetAttempt(OpenMessage open, std::string body, std::shared_ptr<AnswerSink> sink)
+    : m_open(std::move(open))
+    , m_requestBody(std::move(body))
+    , m_sink(std::move(sink))
+    , m_recordWhole(!m_open.repeatable)
+{
+}
+
+void TargetAttempt::start(HttpClient &http, const TargetRequest &request, DoneHandler onDone)
+{
+    m_onDone = std::move(onDone);
+    HttpClientRequest transfer;
+    transfer.method = m_open.method;
+    transfer.url = request.url + m_open.target;
+    transfer.headers = requestHeaders(m_open, request.remaining);
+    transfer.body = std::move(m_requestBody);
+    transfer.timeout = request.remaining;
+    transfer.connectTimeout = std::min(transfer.connectTimeout, request.remaining);
+    transfer.atMostOnce = !m_open.repeatable;
+    HttpTransfer::Handlers handlers;
+    const auto self = shared_from_this();
+    handlers.onHead = [self](unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length) {
+        self->onHead(status, headers, length);
+    };
+    handlers.onData = [self](std::string_view bytes) {
+        self->onData(bytes);
+    };
+    handlers.onDone = [self](const HttpClientResult &result) {
+        self->onDone(result);
+    };
+    m_transfer = http.start(std::move(transfer), std::move(handlers));
+}
+
+void TargetAttempt::abort()
+{
+    if (const auto transfer = std::exchange(m_transfer, nullptr)) {
+        transfer->cancel();
+    }
+}
+
+void TargetAttempt::credit(std::size_t bytes)
+{
+    m_unacknowledged -= std::min(bytes, m_unacknowledged);
+    if (m_unacknowledged < CallProtocol::WindowBytes && m_transfer) {
+        m_transfer->unpause();
+    }
+}
+
+bool TargetAttempt::moveTo(std::shared_ptr<AnswerSink> sink)
+{
+    if (m_head && !m_recordWhole) {
+        return false;
+    }
+    m_sink = std::move(sink);
+    m_unacknowledged = 0;
+    m_sink->fenced(FenceStatus::Running);
+    if (!m_head) {
+        return true;
+    }
+    m_sink->head(*m_head);
+    pass(m_record);
+    if (m_transfer) {
+        m_transfer->unpause();
+    }
+    return true;
+}
+
+void TargetAttempt::onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
+{
+    HeadMessage head;
+    head.status = status;
+    for (const HttpHeader &header : endToEndHeaders(headers)) {
+        head.headers.emplace_back(header.name, header.value);
+    }
+    head.length = length;
+    m_headContext(head);
+    m_head = head;
+    m_sink->head(head);
+}
+
+void TargetAttempt::onData(std::string_view bytes)
+{
+    if (m_recordWhole && m_record.size() + bytes.size() <= FenceLimits {}.maxKeptAnswer) {
+        m_record.append(bytes);
+    } else {
+        m_recordWhole = false;
+        m_record.clear();
+    }
+    pass(bytes);
+}
+
+void TargetAttempt::pass(std::string_view bytes)
+{
+    if (bytes.empty()) {
+        return;
+    }
+    m_unacknowledged += bytes.size();
+    m_sink->data(bytes);
+    if (m_unacknowledged >= CallProtocol::WindowBytes && m_transfer) {
+        m_transfer->pause();
+    }
+}
+
+void TargetAttempt::onDone(const HttpClientResult &result)
+{
+    m_transfer = nullptr;
+    m_onDone(result, result.code == ResultCode::Ok ? kept() : nullptr);
+}
+
+std::shared_ptr<const KeptAnswer> TargetAttempt::kept() const
+{
+    if (!m_recordWhole || !m_head) {
+        return nullptr;
+    }
+    return std::make_shared<KeptAnswer>(
+        KeptAnswer {static_cast<int>(m_head->status), encodeMessage(*m_head), m_record});
+}
+
+void replay(const KeptAnswer &answer, AnswerSink &sink)
+{
+    sink.head(decodeMessage<HeadMessage>(answer.headers, ResultCode::InternalError));
+    sink.data(answer.body);
+    sink.end(ResultCode::Ok, "");
+}
+
+} // namespace jasminemast
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -1,7 +1,10 @@
-// Admission beside the target and the transfer of one request to it.
+// Carries out the decisions beside a target.
 #include "jasminemast/node/targetside.h"
 
+#include <nlohmann/json.hpp>
+
 #include <algorithm>
+#include <type_traits>
 
 namespace jasminemast
 {
@@ -10,203 +13,255 @@
 {
 
 constexpr long MaxTargetConnections = 100;
+constexpr Milliseconds TickInterval {10};
+constexpr Milliseconds ProbeInterval {1'000};
+constexpr Milliseconds ProbeTimeout {800};
+constexpr std::size_t MaxHealthPageBytes = 4096;
 
-HttpHeaders requestHeaders(const OpenMessage &open, Milliseconds remaining)
+bool saysDraining(const std::string &page)
 {
-    HttpHeaders headers;
-    for (const auto &[name, value] : open.headers) {
-        headers.push_back({name, value});
-    }
-    headers.push_back({"Jasminemast-Deadline-Ms", std::to_string(remaining.count())});
-    headers.push_back({"Jasminemast-Ticket", std::to_string(open.ticket.value())});
-    return headers;
+    const auto json = nlohmann::json::parse(page, nullptr, false);
+    return json.is_object() && json.value("state", nlohmann::json()) == "draining";
 }
 
 } // namespace
 
-/// One request at the target. Lives until its transfer is over, also when its asker has gone.
-class RunningAttempt : public std::enable_shared_from_this<RunningAttempt>
+/// An asker's hold on an attempt beside the target.
+class TargetHandle final : public AttemptHandle
 {
 public:
-    RunningAttempt(TargetSide &side, OpenMessage open, std::shared_ptr<AnswerSink> sink)
+    TargetHandle(TargetSide &side, AttemptId attempt)
         : m_side(side)
-        , m_open(std::move(open))
-        , m_sink(std::move(sink))
-    {
-        ++m_side.m_running;
-        ++m_side.m_slotsUsed[m_open.endpoint];
-    }
-
-    ~RunningAttempt()
+        , m_attempt(std::move(attempt))
     {
-        --m_side.m_running;
-        --m_side.m_slotsUsed[m_open.endpoint];
     }
 
-    RunningAttempt(const RunningAttempt &) = delete;
-    RunningAttempt &operator=(const RunningAttempt &) = delete;
-
-    void start(const Endpoint &endpoint, std::string body)
+    void cancel() override
     {
-        const Milliseconds remaining(m_open.remainingMs);
-        HttpClientRequest request;
-        request.method = m_open.method;
-        request.url = "http://" + m_side.m_targetAddress + ":" + std::to_string(endpoint.port) + m_open.target;
-        request.headers = requestHeaders(m_open, remaining);
-        request.body = std::move(body);
-        request.timeout = remaining;
-        request.atMostOnce = !m_open.repeatable;
-        m_slots = endpoint.slots;
-        HttpTransfer::Handlers handlers;
-        const auto self = shared_from_this();
-        handlers.onHead = [self](unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length) {
-            self->onHead(status, headers, length);
-        };
-        handlers.onData = [self](std::string_view bytes) {
-            self->onData(bytes);
-        };
-        handlers.onDone = [self](const HttpClientResult &result) {
-            self->onDone(result);
-        };
-        m_transfer = m_side.m_http.start(std::move(request), std::move(handlers));
+        m_side.cancel(m_attempt);
     }
 
-    void cancel()
-    {
-        m_sink = nullptr;
-        if (m_transfer) {
-            m_transfer->cancel();
-            m_transfer = nullptr;
-        }
-    }
-
-    void credit(std::size_t bytes)
+    void credit(std::size_t bytes) override
     {
-        m_unacknowledged -= std::min(bytes, m_unacknowledged);
-        if (m_unacknowledged < CallProtocol::WindowBytes && m_transfer) {
-            m_transfer->unpause();
+        const auto found = m_side.m_attempts.find(m_attempt);
+        if (found != m_side.m_attempts.end()) {
+            found->second->credit(bytes);
         }
     }
 
 private:
-    void onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
-    {
-        if (!m_sink) {
-            return;
-        }
-        HeadMessage head;
-        head.status = status;
-        for (const HttpHeader &header : endToEndHeaders(headers)) {
-            head.headers.emplace_back(header.name, header.value);
-        }
-        head.length = length;
-        head.ticket = m_side.m_config.current()->number;
-        head.load = static_cast<float>(m_side.m_slotsUsed[m_open.endpoint]) / static_cast<float>(m_slots);
-        m_sink->head(head);
-    }
+    TargetSide &m_side;
+    AttemptId m_attempt;
+};
 
-    void onData(std::string_view bytes)
-    {
-        if (!m_sink) {
-            return;
-        }
-        m_unacknowledged += bytes.size();
-        m_sink->data(bytes);
-        if (m_unacknowledged >= CallProtocol::WindowBytes) {
-            m_transfer->pause();
-        }
+TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
+                       TargetSideIdentity identity, Announcer announcer)
+    : m_loop(loop)
+    , m_clock(clock)
+    , m_config(config)
+    , m_fleet(fleet)
+    , m_identity(std::move(identity))
+    , m_announcer(std::move(announcer))
+    , m_http(loop, MaxTargetConnections)
+    , m_probes(loop)
+    , m_core(m_identity.incarnation, TargetLimits {})
+    , m_tickTimer(loop, [this] { tick(); })
+    , m_probeTimer(loop, [this] { probeHealth(); })
+{
+    m_tickTimer.startRepeating(TickInterval);
+    m_probeTimer.startRepeating(ProbeInterval);
+}
+
+std::unique_ptr<AttemptHandle> TargetSide::open(const OpenMessage &open, std::string body,
+                                                std::shared_ptr<AnswerSink> sink, TimePoint arrived)
+{
+    followConfiguration();
+    const TimePoint now = m_clock.now();
+    m_lastArrival = now;
+    const OpenRequest request {
+        open.attempt, open.endpoint, open.peer, open.generation, Milliseconds(open.remainingMs), open.repeatable};
+    auto attempt = std::make_shared<TargetAttempt>(open, std::move(body), std::move(sink));
+    // A second copy finds the first one here and does not displace it.
+    m_attempts.emplace(open.attempt, attempt);
+    perform(m_core.onOpen(request, now - arrived, now));
+    dropEnded(open.attempt);
+    return std::make_unique<TargetHandle>(*this, open.attempt);
+}
+
+std::unique_ptr<AttemptHandle> TargetSide::fence(const FenceMessage &fence, const std::shared_ptr<AnswerSink> &sink)
+{
+    const FenceRequest request {fence.attempt, fence.peer, fence.generation};
+    for (const TargetAction &action : m_core.onFence(request, m_clock.now())) {
+        const auto &reply = std::get<targetaction::ReplyToFence>(action);
+        m_loop.post([this, reply, sink] { answerFence(reply.attempt, reply.answer, sink); });
     }
+    dropEnded(fence.attempt);
+    return std::make_unique<TargetHandle>(*this, fence.attempt);
+}
 
-    void onDone(const HttpClientResult &result)
-    {
-        m_transfer = nullptr;
-        const auto sink = std::exchange(m_sink, nullptr);
-        if (!sink) {
-            return;
-        }
-        if (!result.requestSent) {
-            sink->refused(ResultCode::TargetUnreachable, result.detail);
-            return;
-        }
-        sink->end(result.code, result.detail);
+void TargetSide::answerFence(const AttemptId &attempt, const FenceAnswer &answer,
+                             const std::shared_ptr<AnswerSink> &sink)
+{
+    if (answer.status == FenceStatus::Done) {
+        sink->fenced(FenceStatus::Done);
+        replay(*answer.answer, *sink);
+        return;
+    }
+    if (answer.status != FenceStatus::Running) {
+        sink->fenced(answer.status);
+        return;
+    }
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || !found->second->moveTo(sink)) {
+        sink->fenced(FenceStatus::Unknown);
     }
+}
 
-    TargetSide &m_side;
-    OpenMessage m_open;
-    std::shared_ptr<AnswerSink> m_sink; ///< null once the asker has gone or has the whole answer
-    std::shared_ptr<HttpTransfer> m_transfer;
-    std::size_t m_unacknowledged = 0; ///< answer bytes passed on and not yet credited
-    unsigned m_slots = 1;
-};
+void TargetSide::perform(const TargetActions &actions)
+{
+    for (const TargetAction &action : actions) {
+        std::visit(
+            [this](const auto &concrete) {
+                using Action = std::decay_t<decltype(concrete)>;
+                if constexpr (std::is_same_v<Action, targetaction::Start>) {
+                    start(concrete);
+                } else if constexpr (std::is_same_v<Action, targetaction::Refuse>) {
+                    refuse(concrete);
+                } else if constexpr (std::is_same_v<Action, targetaction::Announce>) {
+                    m_announcer(concrete.endpoint, concrete.leaving);
+                } else if constexpr (std::is_same_v<Action, targetaction::Fail>) {
+                    const auto &sink = m_attempts.at(concrete.attempt)->sink();
+                    m_loop.post([sink, code = concrete.code] { sink->end(code, ""); });
+                    dropEnded(concrete.attempt);
+                } else if constexpr (std::is_same_v<Action, targetaction::Abort>) {
+                    dropEnded(concrete.attempt);
+                }
+            },
+            action);
+    }
+}
 
-namespace
+void TargetSide::start(const targetaction::Start &start)
 {
+    const auto attempt = m_attempts.at(start.attempt);
+    attempt->setHeadContext([this, endpoint = start.endpoint](HeadMessage &head) {
+        head.ticket = m_config.current()->number;
+        head.load = static_cast<float>(m_core.load(endpoint));
+    });
+    // The deadline is in the future, and a transfer without a timeout would never end.
+    const auto remaining
+        = std::max(std::chrono::duration_cast<Milliseconds>(start.deadline - m_clock.now()), Milliseconds(1));
+    attempt->start(m_http, TargetRequest {urlOf(start.endpoint), remaining},
+                   [this, id = start.attempt](const HttpClientResult &result, std::shared_ptr<const KeptAnswer> kept) {
+                       onDone(id, result, std::move(kept));
+                   });
+}
 
-class RunningHandle final : public AttemptHandle
+void TargetSide::onDone(const AttemptId &attempt, const HttpClientResult &result,
+                        std::shared_ptr<const KeptAnswer> answer)
 {
-public:
-    explicit RunningHandle(const std::shared_ptr<RunningAttempt> &attempt)
-        : m_attempt(attempt)
-    {
+    const TimePoint now = m_clock.now();
+    if (!m_attempts.contains(attempt)) {
+        return;
     }
-
-    void cancel() override
-    {
-        if (const auto attempt = m_attempt.lock()) {
-            attempt->cancel();
-        }
+    if (result.code == ResultCode::Ok) {
+        const auto sink = m_attempts.at(attempt)->sink();
+        perform(m_core.onAnswered(attempt, std::move(answer), now));
+        sink->end(ResultCode::Ok, "");
+    } else if (result.requestSent) {
+        perform(m_core.onLost(attempt, result.code, now));
+    } else {
+        perform(m_core.onNotSent(attempt, now));
     }
+    dropEnded(attempt);
+}
 
-    void credit(std::size_t bytes) override
-    {
-        if (const auto attempt = m_attempt.lock()) {
-            attempt->credit(bytes);
-        }
+void TargetSide::refuse(const targetaction::Refuse &refusal)
+{
+    const auto found = m_attempts.find(refusal.attempt);
+    if (found == m_attempts.end()) {
+        return;
     }
+    const auto sink = found->second->sink();
+    const auto load = static_cast<float>(m_core.load(found->second->open().endpoint));
+    m_loop.post([sink, code = refusal.code, load] { sink->refused(code, "", load); });
+    dropEnded(refusal.attempt);
+}
 
-private:
-    std::weak_ptr<RunningAttempt> m_attempt;
-};
+void TargetSide::cancel(const AttemptId &attempt)
+{
+    perform(m_core.onCancel(attempt, m_clock.now()));
+    dropEnded(attempt);
+}
 
-} // namespace
+void TargetSide::dropEnded(const AttemptId &attempt)
+{
+    const auto found = m_attempts.find(attempt);
+    if (found == m_attempts.end() || m_core.holds(attempt)) {
+        return;
+    }
+    found->second->abort();
+    m_attempts.erase(found);
+}
 
-TargetSide::TargetSide(Loop &loop, const ConfigView &config, HostId self, std::string targetAddress)
-    : m_loop(loop)
-    , m_config(config)
-    , m_self(std::move(self))
-    , m_targetAddress(std::move(targetAddress))
-    , m_http(loop, MaxTargetConnections)
+void TargetSide::beginDrain()
 {
+    perform(m_core.setLeaving(DrainReason::Signal, true, m_clock.now()));
 }
 
-ResultCode TargetSide::admit(const OpenMessage &open, const Endpoint *endpoint) const
+void TargetSide::tick()
 {
-    if (endpoint == nullptr || endpoint->host != m_self || endpoint->draining) {
-        return ResultCode::NoEndpoint;
-    }
-    if (open.remainingMs == 0) {
-        return ResultCode::DeadlineExceeded;
+    followConfiguration();
+    perform(m_core.tick(m_clock.now()));
+}
+
+void TargetSide::followConfiguration()
+{
+    const TimePoint now = m_clock.now();
+    const HostView *self = m_fleet.findHost(m_identity.host);
+    const bool leaving = self != nullptr && self->state == HostState::Leaving;
+    perform(m_core.setLeaving(DrainReason::HostList, leaving, now));
+    const StatePtr state = m_config.current();
+    if (state == m_followed) {
+        return;
     }
-    const auto used = m_slotsUsed.find(open.endpoint);
-    if (used != m_slotsUsed.end() && used->second >= endpoint->slots) {
-        return ResultCode::SlotsFull;
+    m_followed = state;
+    std::vector<LocalEndpoint> local;
+    for (const auto &[id, endpoint] : state->endpoints) {
+        if (endpoint->host != m_identity.host) {
+            continue;
+        }
+        local.push_back({id, endpoint->slots, endpoint->draining});
+        m_ports[id] = endpoint->port;
     }
-    return ResultCode::Ok;
+    perform(m_core.setEndpoints(local, now));
 }
 
-std::unique_ptr<AttemptHandle> TargetSide::open(OpenMessage open, std::string body, std::shared_ptr<AnswerSink> sink)
+void TargetSide::probeHealth()
 {
-    const StatePtr state = m_config.current();
-    const auto found = state->endpoints.find(open.endpoint);
-    const Endpoint *endpoint = found == state->endpoints.end() ? nullptr : found->second.get();
-    const ResultCode code = admit(open, endpoint);
-    if (code != ResultCode::Ok) {
-        m_loop.post([sink = std::move(sink), code] { sink->refused(code, ""); });
-        return std::make_unique<RunningHandle>(nullptr);
+    for (const auto &[id, port] : m_ports) {
+        if (!m_core.serves(id) || !m_probing.insert(id).second) {
+            continue;
+        }
+        HttpClientRequest request;
+        request.url = urlOf(id) + "/health";
+        request.timeout = ProbeTimeout;
+        request.maxBodyBytes = MaxHealthPageBytes;
+        m_probes.fetch(std::move(request),
+                       [this, endpoint = id](const HttpClientResult &result, unsigned /*status*/,
+                                             const HttpHeaders & /*headers*/, const std::string &body) {
+                           m_probing.erase(endpoint);
+                           // A page that cannot be read says nothing: the outcomes of calls decide.
+                           if (result.code == ResultCode::Ok) {
+                               perform(m_core.onHealth(endpoint, saysDraining(body), m_clock.now()));
+                           }
+                       });
     }
-    const auto attempt = std::make_shared<RunningAttempt>(*this, std::move(open), std::move(sink));
-    attempt->start(*endpoint, std::move(body));
-    return std::make_unique<RunningHandle>(attempt);
+}
+
+std::string TargetSide::urlOf(const EndpointId &endpoint) const
+{
+    return "http://" + m_identity.targetAddress + ":" + std::to_string(m_ports.at(endpoint));
 }
 
 } // namespace jasminemast
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -300,11 +300,23 @@
     core.onOpen(openRequest(1, 1s), {}, Start);
     const TargetActions actions = core.tick(Start + 1s);
     ASSERT_EQ(actions.size(), 2U);
-    EXPECT_TRUE(std::holds_alternative<targetaction::Abort>(actions[0]));
-    EXPECT_TRUE(std::holds_alternative<targetaction::Fail>(actions[1]));
+    EXPECT_TRUE(std::holds_alternative<targetaction::Fail>(actions[0]));
+    EXPECT_TRUE(std::holds_alternative<targetaction::Abort>(actions[1]));
     EXPECT_EQ(core.load(EndpointId("e")), 0);
 }
 
+TEST(TargetCoreTest, fenceWithdrawsAWaitingCall)
+{
+    TargetCore core(Incarnation(1), {});
+    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
+    core.onOpen(openRequest(1, 1s), {}, Start);
+    core.onOpen(openRequest(2, 1s), {}, Start);
+    const TargetActions actions = core.onFence({attempt(2), Incarnation(1), LinkGeneration(2)}, Start);
+    ASSERT_EQ(actions.size(), 1U);
+    EXPECT_EQ(std::get<targetaction::ReplyToFence>(actions[0]).answer.status, FenceStatus::NotRun);
+    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start).empty()) << "the fenced one never starts";
+}
+
 TEST(TargetCoreTest, cancelledWaitingCallIsNotRun)
 {
     TargetCore core(Incarnation(1), {});
