--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -9,6 +9,10 @@
 #include "jasminemast/node/targetside.h"
 #include "jasminemast/node/views.h"
 #include "jasminemast/support/metrics.h"
+<<<<<<< HEAD
+=======
+#include "jasminemast/support/random.h"
+>>>>>>> main
 
 #include <map>
 #include <memory>
@@ -28,6 +32,7 @@
     TargetSide &localTarget;
     LinkPool &links;
     CallClient &remote;
+    Metrics &metrics;
 };
 
 /// Carries the calls of this node's callers.
