--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -82,7 +82,7 @@
 class EntryCore
 {
 public:
-    EntryCore(EntryPlace place, const EntryLimits &limits, std::uint64_t seed);
+    EntryCore(EntryPlace place, const EntryLimits &limits, std::uint64_t seed, Metrics &metrics);
 
     /// Follows a new ticket or host list; \p services replaces what was known.
     void setServices(std::map<ServiceId, std::vector<Candidate>> services, TimePoint now);
@@ -122,23 +122,6 @@
     }
     [[nodiscard]] std::optional<TimePoint> earliestDeadline() const;
 
-    [[nodiscard]] const Counters<ResultCode> &failures() const
-    {
-        return m_failures;
-    }
-    [[nodiscard]] const Counters<RetryReason> &retries() const
-    {
-        return m_retries;
-    }
-    [[nodiscard]] const Counters<RetryStop> &retryStops() const
-    {
-        return m_retryStops;
-    }
-    [[nodiscard]] std::uint64_t attempts() const
-    {
-        return m_attempts;
-    }
-
 private:
     /// The latest attempt of a call.
     struct Attempt
@@ -177,7 +160,7 @@
     void drive(const CallId &id, const CallEvent &event, AttemptEvidence evidence, EntryActions &actions,
                TimePoint now);
     void perform(const CallId &id, const CallActions &steps, EntryActions &actions, TimePoint now);
-    void choose(const CallId &id, std::optional<RetryReason> reason, EntryActions &actions, TimePoint now);
+    void choose(const CallId &id, std::optional<ResultCode> reason, EntryActions &actions, TimePoint now);
     void sendOpen(const CallId &id, Call &call, EntryActions &actions, TimePoint now);
     void sendFence(const CallId &id, Call &call, EntryActions &actions);
     void sendCancel(const CallId &id, const Call &call, EntryActions &actions) const;
@@ -199,10 +182,7 @@
     std::set<std::pair<TimePoint, CallId>> m_unsent; ///< attempts that may still wait for a link, by chosenAt
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_lastGeneration = 0; ///< over all hosts, so that it never repeats
-    std::uint64_t m_attempts = 0;
-    Counters<ResultCode> m_failures; ///< calls that ended without an answer
-    Counters<RetryReason> m_retries;
-    Counters<RetryStop> m_retryStops;
+    Metrics &m_metrics;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/call/outcome.h
+++ b/include/jasminemast/call/outcome.h
@@ -91,7 +91,7 @@
 /// Choose an endpoint, other than those that just failed where possible; reply with EndpointChosen or NoneUsable.
 struct Choose
 {
-    std::optional<RetryReason> reason; ///< unset for the first attempt
+    std::optional<ResultCode> reason; ///< how the attempt before ended; unset for the first
 };
 struct SendOpen
 {
@@ -111,7 +111,7 @@
 {
     Outcome outcome;
     ResultCode code; ///< Ok when answered
-    std::optional<RetryStop> stop; ///< why a failed attempt was the last
+    std::optional<ResultCode> stop; ///< what forbade another attempt after a failed one
 };
 } // namespace callaction
 
@@ -169,10 +169,10 @@
     CallActions on(const callevent::CallerLeft &event, RetryBudget &budget, TimePoint now);
 
     [[nodiscard]] bool awaits(std::uint32_t attempt) const;
-    CallActions retryOrFinish(RetryReason reason, bool notRun, ResultCode code, RetryBudget &budget, TimePoint now);
+    CallActions retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now);
     [[nodiscard]] Outcome unanswered() const;
     CallActions abandon(ResultCode code);
-    CallActions finish(Outcome outcome, ResultCode code, std::optional<RetryStop> stop = std::nullopt);
+    CallActions finish(Outcome outcome, ResultCode code, std::optional<ResultCode> stop = std::nullopt);
 
     bool m_repeatable;
     TimePoint m_deadline;
--- a/include/jasminemast/call/retry.h
+++ b/include/jasminemast/call/retry.h
@@ -4,34 +4,12 @@
 #include "jasminemast/support/clock.h"
 #include "jasminemast/support/result.h"
 
-#include <cstddef>
 #include <cstdint>
 #include <optional>
-#include <string_view>
 
 namespace jasminemast
 {
 
-/// Why another attempt was made.
-enum class RetryReason : std::uint8_t {
-#define JASMINEMAST_RETRY_REASON(name, label) name,
-#include "jasminemast/call/retryreasons.def"
-#undef JASMINEMAST_RETRY_REASON
-    Count,
-};
-
-/// Why no further attempt was made.
-enum class RetryStop : std::uint8_t {
-#define JASMINEMAST_RETRY_STOP(name, label) name,
-#include "jasminemast/call/retryreasons.def"
-#undef JASMINEMAST_RETRY_STOP
-    Count,
-};
-
-/// The label of a reason in `/metrics`.
-std::string_view label(RetryReason reason);
-std::string_view label(RetryStop stop);
-
 struct RetryLimits
 {
     double share = 0.1; ///< retries allowed for each first attempt
@@ -59,14 +37,14 @@
     /// What a call asks for when an attempt failed.
     struct Request
     {
-        RetryReason reason;
+        ResultCode reason; ///< how the attempt before ended
         bool mayRepeat; ///< idempotent, or the attempt was not run
         std::uint32_t attemptsMade;
         TimePoint deadline;
     };
 
-    /// Grants another attempt and pays for it, or says why not.
-    std::optional<RetryStop> refuse(const Request &request, TimePoint now);
+    /// Grants another attempt and pays for it, or says why not by one of the Retry codes.
+    std::optional<ResultCode> refuse(const Request &request, TimePoint now);
 
     [[nodiscard]] double tokens() const
     {
--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -81,7 +81,7 @@
 class TargetCore
 {
 public:
-    TargetCore(Incarnation self, const TargetLimits &limits);
+    TargetCore(Incarnation self, const TargetLimits &limits, Metrics &metrics);
 
     /// Follows a new ticket. Attempts on an endpoint that is gone run to their end.
     TargetActions setEndpoints(const std::vector<LocalEndpoint> &endpoints, TimePoint now);
@@ -125,14 +125,6 @@
     {
         return m_accepted.size();
     }
-    [[nodiscard]] const Counters<ResultCode> &refusals() const
-    {
-        return m_refusals;
-    }
-    [[nodiscard]] const LatencySummary &waitingTimes() const
-    {
-        return m_waitingTimes;
-    }
     [[nodiscard]] const FenceTable &fenceTable() const
     {
         return m_fence;
@@ -158,6 +150,7 @@
     void apply(const AdmissionActions &decisions, TargetActions &actions, TimePoint now);
     void start(const AttemptId &attempt, TargetActions &actions, TimePoint now);
     void refuse(const AttemptId &attempt, ResultCode code, TargetActions &actions, TimePoint now);
+    TargetActions endLost(const AttemptId &attempt, ResultCode code, bool abort, TimePoint now);
     void release(const AttemptId &attempt, TargetActions &actions, TimePoint now);
     bool withdraw(const AttemptId &attempt, ResultCode code, TimePoint now);
     [[nodiscard]] bool runs(const AttemptId &attempt) const;
@@ -169,8 +162,7 @@
     std::set<EndpointId> m_served; ///< endpoints of the latest configuration
     std::set<DrainReason> m_hostReasons; ///< reasons to leave that hold for the host, for endpoints still to come
     std::map<AttemptId, Accepted> m_accepted;
-    Counters<ResultCode> m_refusals;
-    LatencySummary m_waitingTimes; ///< from arrival to start
+    Metrics &m_metrics;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -9,10 +9,6 @@
 #include "jasminemast/node/targetside.h"
 #include "jasminemast/node/views.h"
 #include "jasminemast/support/metrics.h"
-<<<<<<< HEAD
-=======
-#include "jasminemast/support/random.h"
->>>>>>> main
 
 #include <map>
 #include <memory>
@@ -65,14 +61,6 @@
     {
         return m_core;
     }
-    [[nodiscard]] const LatencySummary &latencies() const
-    {
-        return m_latencies;
-    }
-    [[nodiscard]] std::uint64_t answered() const
-    {
-        return m_answered;
-    }
     /// When a request last arrived or ended.
     [[nodiscard]] TimePoint lastActivity() const
     {
@@ -109,8 +97,6 @@
     std::set<HostId> m_redial; ///< hosts to dial again once RedialDelay is over
     StatePtr m_followed; ///< configuration that m_core was told last
     TimePoint m_followedAt;
-    LatencySummary m_latencies; ///< of answered calls, from the whole request to the end of the answer
-    std::uint64_t m_answered = 0;
     TimePoint m_lastActivity;
     bool m_draining = false;
     Timer m_tickTimer;
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -30,24 +30,18 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
-<<<<<<< HEAD
     void observeClock();
-    void announce(const EndpointId &endpoint, bool leaving);
-=======
     /// Brings the gauges up to date before they are read.
     void updateGauges();
->>>>>>> main
+    void announce(const EndpointId &endpoint, bool leaving);
 
     Loop &m_loop;
     const Clock &m_clock;
     NodeSettings m_settings;
     Incarnation m_incarnation;
     Random m_random;
-<<<<<<< HEAD
     PauseGuard m_pauseGuard;
-=======
     Metrics m_metrics;
->>>>>>> main
     DirectControl m_control;
     TargetSide m_target;
     LinkPool m_links;
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -14,15 +14,9 @@
 class OperatorApi
 {
 public:
-<<<<<<< HEAD
-    /// \p metrics gives the text of /metrics.
-    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control,
-                std::function<std::string()> metrics);
-=======
     /// \p updateGauges is called before metrics are rendered.
     OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
                 std::function<void()> updateGauges);
->>>>>>> main
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange) const;
@@ -31,12 +25,8 @@
 
     const NodeSettings &m_settings;
     const DirectControl &m_control;
-<<<<<<< HEAD
-    std::function<std::string()> m_metrics;
-=======
     Metrics &m_metrics;
     std::function<void()> m_updateGauges;
->>>>>>> main
     HttpServer m_server;
 };
 
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -30,7 +30,7 @@
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-               TargetSideIdentity identity, Announcer announcer);
+               TargetSideIdentity identity, Metrics &metrics, Announcer announcer);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -7,10 +7,11 @@
 namespace jasminemast
 {
 
-EntryCore::EntryCore(EntryPlace place, const EntryLimits &limits, std::uint64_t seed)
+EntryCore::EntryCore(EntryPlace place, const EntryLimits &limits, std::uint64_t seed, Metrics &metrics)
     : m_place(std::move(place))
     , m_limits(limits)
     , m_random(seed)
+    , m_metrics(metrics)
 {
 }
 
@@ -90,11 +91,11 @@
                 using Step = std::decay_t<decltype(concrete)>;
                 if constexpr (std::is_same_v<Step, callaction::Choose>) {
                     if (concrete.reason) {
-                        m_retries.add(*concrete.reason);
+                        m_metrics.count(Counter::CallRetries, *concrete.reason);
                     }
                     choose(id, concrete.reason, actions, now);
                 } else if constexpr (std::is_same_v<Step, callaction::SendOpen>) {
-                    ++m_attempts;
+                    m_metrics.count(Counter::Attempts);
                     sendOpen(id, m_calls.at(id), actions, now);
                 } else if constexpr (std::is_same_v<Step, callaction::SendFence>) {
                     sendFence(id, m_calls.at(id), actions);
@@ -108,7 +109,7 @@
     }
 }
 
-void EntryCore::choose(const CallId &id, std::optional<RetryReason> reason, EntryActions &actions, TimePoint now)
+void EntryCore::choose(const CallId &id, std::optional<ResultCode> reason, EntryActions &actions, TimePoint now)
 {
     Call &call = m_calls.at(id);
     const auto service = m_services.find(call.spec.service);
@@ -117,7 +118,8 @@
         picked = service->second.choice.pick(call.avoid, now, m_random);
     }
     // An endpoint that refused for load would refuse the same call again at once.
-    const bool refusedBefore = reason == RetryReason::Overloaded && picked && call.avoid.count(*picked) != 0;
+    const bool overloaded = reason == ResultCode::SlotsFull || reason == ResultCode::StartTooLate;
+    const bool refusedBefore = overloaded && picked && call.avoid.count(*picked) != 0;
     if (!picked || refusedBefore) {
         drive(id, callevent::NoneUsable {call.lastRefusal}, AttemptEvidence::Neutral, actions, now);
         return;
@@ -171,10 +173,18 @@
 void EntryCore::finish(const CallId &id, const callaction::Finish &end, EntryActions &actions)
 {
     if (end.stop) {
-        m_retryStops.add(*end.stop);
+        m_metrics.count(Counter::RetriesForbidden, *end.stop);
     }
-    if (end.outcome != Outcome::Answered) {
-        m_failures.add(end.code);
+    switch (end.outcome) {
+    case Outcome::Answered:
+        m_metrics.count(Counter::CallsAnswered);
+        break;
+    case Outcome::NotRun:
+        m_metrics.count(Counter::CallsNotRun, end.code);
+        break;
+    case Outcome::Unknown:
+        m_metrics.count(Counter::CallsUnknown, end.code);
+        break;
     }
     m_deadlines.erase({m_calls.at(id).spec.deadline, id});
     m_calls.erase(id);
--- a/lib/call/outcome.cpp
+++ b/lib/call/outcome.cpp
@@ -6,28 +6,6 @@
 namespace jasminemast
 {
 
-namespace
-{
-
-RetryReason reasonFor(ResultCode refusal)
-{
-    switch (refusal) {
-    case ResultCode::TargetLeaving:
-        return RetryReason::Leaving;
-    case ResultCode::TargetUnreachable:
-        return RetryReason::TargetDown;
-    case ResultCode::EndpointElsewhere:
-    case ResultCode::NotReady:
-        return RetryReason::Misrouted;
-    case ResultCode::AttemptFenced:
-        return RetryReason::Fenced;
-    default:
-        return RetryReason::Overloaded;
-    }
-}
-
-} // namespace
-
 CallMachine::CallMachine(bool repeatable, TimePoint deadline)
     : m_repeatable(repeatable)
     , m_deadline(deadline)
@@ -68,23 +46,22 @@
     return actions;
 }
 
-CallActions CallMachine::finish(Outcome outcome, ResultCode code, std::optional<RetryStop> stop)
+CallActions CallMachine::finish(Outcome outcome, ResultCode code, std::optional<ResultCode> stop)
 {
     m_phase = Phase::Finished;
     return {callaction::Finish {outcome, code, stop}};
 }
 
-CallActions CallMachine::retryOrFinish(RetryReason reason, bool notRun, ResultCode code, RetryBudget &budget,
-                                       TimePoint now)
+CallActions CallMachine::retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now)
 {
-    const RetryBudget::Request request {reason, notRun || m_repeatable, m_attempt, m_deadline};
+    const RetryBudget::Request request {code, notRun || m_repeatable, m_attempt, m_deadline};
     m_mayHaveRun = m_mayHaveRun || !notRun;
-    const std::optional<RetryStop> stop = budget.refuse(request, now);
+    const std::optional<ResultCode> stop = budget.refuse(request, now);
     if (stop) {
         return finish(unanswered(), code, stop);
     }
     m_phase = Phase::Choosing;
-    return {callaction::Choose {reason}};
+    return {callaction::Choose {code}};
 }
 
 CallActions CallMachine::on(const callevent::EndpointChosen & /*event*/, RetryBudget &budget, TimePoint now)
@@ -116,7 +93,7 @@
     if (event.attempt != m_attempt || m_phase != Phase::Waiting) {
         return {};
     }
-    return retryOrFinish(RetryReason::NotSent, true, ResultCode::PeerUnreachable, budget, now);
+    return retryOrFinish(true, ResultCode::PeerUnreachable, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::Refused &event, RetryBudget &budget, TimePoint now)
@@ -125,7 +102,7 @@
     if (!awaits(event.attempt)) {
         return {};
     }
-    return retryOrFinish(reasonFor(event.code), true, event.code, budget, now);
+    return retryOrFinish(true, event.code, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::Lost &event, RetryBudget &budget, TimePoint now)
@@ -136,7 +113,7 @@
     if (!awaits(event.attempt)) {
         return {};
     }
-    return retryOrFinish(RetryReason::AnswerLost, false, event.code, budget, now);
+    return retryOrFinish(false, event.code, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::AnswerBegan &event, RetryBudget & /*budget*/, TimePoint /*now*/)
@@ -167,7 +144,7 @@
         return {};
     }
     if (m_repeatable) {
-        return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+        return retryOrFinish(false, ResultCode::OutcomeUnknown, budget, now);
     }
     m_phase = Phase::Fencing;
     return {callaction::SendFence {m_attempt}};
@@ -189,7 +166,7 @@
     if (!awaits(event.attempt)) {
         return {};
     }
-    return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+    return retryOrFinish(false, ResultCode::OutcomeUnknown, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::FenceReplied &event, RetryBudget &budget, TimePoint now)
@@ -199,7 +176,7 @@
     }
     switch (event.status) {
     case FenceStatus::NotRun:
-        return retryOrFinish(RetryReason::Fenced, true, ResultCode::AttemptFenced, budget, now);
+        return retryOrFinish(true, ResultCode::AttemptFenced, budget, now);
     case FenceStatus::Running:
     case FenceStatus::Done:
         m_phase = Phase::Waiting;
@@ -207,7 +184,7 @@
     case FenceStatus::Unknown:
         break;
     }
-    return retryOrFinish(RetryReason::AnswerLost, false, ResultCode::OutcomeUnknown, budget, now);
+    return retryOrFinish(false, ResultCode::OutcomeUnknown, budget, now);
 }
 
 CallActions CallMachine::on(const callevent::DeadlinePassed & /*event*/, RetryBudget & /*budget*/, TimePoint /*now*/)
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -7,9 +7,10 @@
 namespace jasminemast
 {
 
-TargetCore::TargetCore(Incarnation self, const TargetLimits &limits)
+TargetCore::TargetCore(Incarnation self, const TargetLimits &limits, Metrics &metrics)
     : m_limits(limits)
     , m_fence(self, limits.fence)
+    , m_metrics(metrics)
 {
 }
 
@@ -50,7 +51,7 @@
     case OpenVerdict::Refused:
         return {targetaction::Refuse {attempt, *m_fence.refusalOf(attempt)}};
     case OpenVerdict::Fenced:
-        m_refusals.add(ResultCode::AttemptFenced);
+        m_metrics.count(Counter::AttemptsRefused, ResultCode::AttemptFenced);
         return {targetaction::Refuse {attempt, ResultCode::AttemptFenced}};
     case OpenVerdict::Unknown:
         break;
@@ -92,7 +93,7 @@
 {
     Accepted &accepted = m_accepted.at(attempt);
     accepted.startedAt = now;
-    m_waitingTimes.add(now - accepted.arrived);
+    m_metrics.observe(Summary::QueueWait, now - accepted.arrived);
     m_fence.started(attempt);
     actions.emplace_back(targetaction::Start {attempt, accepted.endpoint, accepted.deadline, accepted.repeatable});
 }
@@ -101,7 +102,7 @@
 {
     m_accepted.erase(attempt);
     m_fence.refused(attempt, code, now);
-    m_refusals.add(code);
+    m_metrics.count(Counter::AttemptsRefused, code);
     actions.emplace_back(targetaction::Refuse {attempt, code});
 }
 
@@ -133,7 +134,7 @@
     static_cast<void>(waited);
     m_accepted.erase(found);
     m_fence.refused(attempt, code, now);
-    m_refusals.add(code);
+    m_metrics.count(Counter::AttemptsRefused, code);
     return true;
 }
 
@@ -181,10 +182,16 @@
 
 TargetActions TargetCore::onLost(const AttemptId &attempt, ResultCode code, TimePoint now)
 {
-    if (!runs(attempt)) {
-        return {};
-    }
+    return runs(attempt) ? endLost(attempt, code, false, now) : TargetActions {};
+}
+
+TargetActions TargetCore::endLost(const AttemptId &attempt, ResultCode code, bool abort, TimePoint now)
+{
     TargetActions actions {targetaction::Fail {attempt, code}};
+    if (abort) {
+        // Before the next attempt starts in its slot.
+        actions.emplace_back(targetaction::Abort {attempt});
+    }
     m_fence.lost(attempt, now);
     release(attempt, actions, now);
     return actions;
@@ -235,9 +242,8 @@
         }
     }
     for (const AttemptId &attempt : overdue) {
-        const TargetActions lost = onLost(attempt, ResultCode::DeadlineExceeded, now);
+        const TargetActions lost = endLost(attempt, ResultCode::DeadlineExceeded, true, now);
         actions.insert(actions.end(), lost.begin(), lost.end());
-        actions.emplace_back(targetaction::Abort {attempt});
     }
     m_fence.expire(now);
     return actions;
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -83,20 +83,6 @@
     , m_route(route)
     , m_began(began)
 {
-<<<<<<< HEAD
-=======
-    const HttpRequest &request = m_exchange->request();
-    m_state = m_side.m_context.config.current();
-    m_route = m_state->findRoute(request.method, request.path());
-    if (m_route == nullptr) {
-        m_side.m_context.metrics.count(Counter::CallsNotRun, ResultCode::NoRoute);
-        answerError(StatusNotFound, "not-run", ResultCode::NoRoute, "");
-        return;
-    }
-    m_deadline = std::min(m_deadline, m_side.m_context.clock.now() + m_route->timeout);
-    m_timer.start(m_deadline - m_side.m_context.clock.now());
-    tryNext();
->>>>>>> main
 }
 
 OpenMessage EntryCall::makeOpen(const OpenRequest &request) const
@@ -126,19 +112,11 @@
     m_handle = std::move(handle);
 }
 
-<<<<<<< HEAD
 void EntryCall::cancelAttempt()
 {
     if (m_handle) {
         m_handle->cancel();
     }
-=======
-void EntryCall::onRefused(ResultCode code, const std::string & /*detail*/)
-{
-    m_handle = nullptr;
-    m_side.m_context.metrics.count(Counter::CallRetries, code);
-    tryNext();
->>>>>>> main
 }
 
 void EntryCall::passHead(const HeadMessage &head, bool closeConnection)
@@ -171,60 +149,13 @@
 
 void EntryCall::finish(Outcome outcome, ResultCode code, bool closeConnection)
 {
-<<<<<<< HEAD
     m_exchange->setCancelHandler(nullptr);
     if (outcome == Outcome::Answered) {
-=======
-    m_handle = nullptr;
-    if (code == ResultCode::Ok && m_headSent) {
-        m_side.m_context.metrics.count(Counter::CallsAnswered);
->>>>>>> main
         m_exchange->finish();
         return;
     }
-<<<<<<< HEAD
     m_exchange->setDrainHandler(nullptr);
     if (m_headPassed) {
-=======
-    if (!m_headSent && m_route->isRepeatable(m_exchange->request().method) && m_attempt < MaxAttempts) {
-        m_side.m_context.metrics.count(Counter::CallRetries, code);
-        tryNext();
-        return;
-    }
-    answerUnknown(code, detail);
-}
-
-void EntryCall::onDeadline()
-{
-    if (m_over) {
-        return;
-    }
-    if (m_handle) {
-        answerUnknown(ResultCode::DeadlineExceeded, "");
-    } else {
-        answerNotRun(ResultCode::DeadlineExceeded, "");
-    }
-}
-
-void EntryCall::onCallerGone()
-{
-    if (m_over) {
-        return;
-    }
-    finish();
-}
-
-void EntryCall::answerNotRun(ResultCode code, const std::string &detail)
-{
-    m_side.m_context.metrics.count(Counter::CallsNotRun, code);
-    answerError(StatusUnavailable, "not-run", code, detail);
-}
-
-void EntryCall::answerUnknown(ResultCode code, const std::string &detail)
-{
-    m_side.m_context.metrics.count(Counter::CallsUnknown, code);
-    if (m_headSent) {
->>>>>>> main
         m_exchange->abort();
         return;
     }
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -83,7 +83,7 @@
     , m_linkPort(settings.linkPort)
     , m_settings(settings.calls)
     , m_core(EntryPlace {settings.self.host, incarnation, settings.self.zone, settings.self.region}, EntryLimits {},
-             seed)
+             seed, context.metrics)
     , m_tickTimer(context.loop, [this] { tick(); })
 {
     // The target beside this node is reached without a link.
@@ -111,6 +111,7 @@
             route(exchange, arrived, deadline);
             return;
         }
+        m_context.metrics.count(Counter::CallsNotRun, ResultCode::TicketNotReached);
         respondWithoutAnswer(*exchange, m_context.config.current()->number, Outcome::NotRun,
                              ResultCode::TicketNotReached, m_draining);
     });
@@ -123,6 +124,7 @@
     const StatePtr state = m_context.config.current();
     const Route *route = state->findRoute(request.method, request.path());
     if (route == nullptr) {
+        m_context.metrics.count(Counter::CallsNotRun, ResultCode::NoRoute);
         respondWithoutAnswer(*exchange, state->number, Outcome::NotRun, ResultCode::NoRoute, m_draining);
         return;
     }
@@ -276,8 +278,7 @@
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     if (end.outcome == Outcome::Answered) {
-        ++m_answered;
-        m_latencies.add(now - call->began());
+        m_context.metrics.observe(Summary::CallDuration, now - call->began());
     }
     call->finish(end.outcome, end.code, m_draining);
 }
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -1,7 +1,6 @@
 // Wiring of one node's tasks.
 #include "jasminemast/node/node.h"
 
-#include "jasminemast/node/callmetrics.h"
 #include "jasminemast/support/events.h"
 
 #include <algorithm>
@@ -46,46 +45,29 @@
     , m_settings(std::move(settings))
     , m_incarnation(startTimeAsIncarnation(clock))
     , m_random(std::random_device {}())
-<<<<<<< HEAD
     , m_pauseGuard(PauseLimits {}, clock.now())
-    , m_control(loop, clock, m_settings)
+    , m_metrics(clock)
+    , m_control(loop, clock, m_settings, m_metrics)
     , m_target(loop, clock, m_control, m_control,
-               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress},
+               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_metrics,
                [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
     , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
     , m_callServer(m_target, clock, m_pauseGuard, m_settings.calls.maxRequestBytes)
-    , m_entry(EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient},
-              m_settings, m_incarnation, m_random.below(UINT64_MAX))
+    , m_entry(
+          EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient, m_metrics},
+          m_settings, m_incarnation, m_random.below(UINT64_MAX))
     , m_callerServer(
           loop, SocketAddress {m_settings.self.address, m_settings.callerPort}, callerLimits(m_settings),
           [this](const std::shared_ptr<HttpExchange> &exchange) {
               observeClock();
               m_entry.handle(exchange);
           },
-          [](ResultCode code) {
-              logEvent(Event::CallRefused, {{"code", std::to_string(number(code))}});
-          })
-    , m_operators(loop, m_settings, m_control, [this] { return renderCallMetrics(m_entry, m_target); })
-=======
-    , m_metrics(clock)
-    , m_control(loop, clock, m_settings, m_metrics)
-    , m_target(loop, m_control, m_settings.self.host, m_settings.targetAddress)
-    , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
-              SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
-    , m_callServer(m_target, clock, m_settings.calls.maxRequestBytes)
-    , m_callClient(loop, m_links)
-    , m_entry(EntryContext {loop, clock, m_random, m_control, m_control, m_target, m_callClient, m_metrics}, m_settings,
-              m_incarnation)
-    , m_callerServer(
-          loop, SocketAddress {m_settings.self.address, m_settings.callerPort}, callerLimits(m_settings),
-          [this](const std::shared_ptr<HttpExchange> &exchange) { m_entry.handle(exchange); },
           [this](ResultCode code) {
               m_metrics.count(Counter::InputRefused, code);
               logEvent(Event::CallRefused, {{"code", std::to_string(number(code))}});
           })
     , m_operators(loop, m_settings, m_control, m_metrics, [this] { updateGauges(); })
->>>>>>> main
     , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
     , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
     , m_drainTimer(loop, [this] { checkDrained(); })
@@ -112,10 +94,7 @@
         onFrame(link, type, payload);
     };
     handlers.onUp = [this](const std::shared_ptr<Link> &link) {
-<<<<<<< HEAD
-=======
         m_metrics.count(Counter::LinksUp);
->>>>>>> main
         logEvent(Event::LinkUp, {{"peer", link->peer().host.value()}});
         if (link->isOutgoing()) {
             m_entry.onLinkUp(link);
@@ -175,7 +154,15 @@
     }
 }
 
-<<<<<<< HEAD
+void Node::updateGauges()
+{
+    m_metrics.set(Gauge::TicketInForce, static_cast<double>(m_control.current()->number.value()));
+    m_metrics.set(Gauge::Ready, m_control.isReady() ? 1 : 0);
+    m_metrics.set(Gauge::LinksOpen, static_cast<double>(m_links.size()));
+    m_metrics.set(Gauge::CallsOpen, static_cast<double>(m_entry.open()));
+    m_metrics.set(Gauge::AttemptsRunning, static_cast<double>(m_target.core().accepted()));
+}
+
 void Node::observeClock()
 {
     if (const auto pause = m_pauseGuard.observe(m_clock.now())) {
@@ -191,15 +178,6 @@
     m_links.forEachUp([&payload](const std::shared_ptr<Link> &link) {
         link->send(static_cast<FrameType>(CallFrame::Announce), payload);
     });
-=======
-void Node::updateGauges()
-{
-    m_metrics.set(Gauge::TicketInForce, static_cast<double>(m_control.current()->number.value()));
-    m_metrics.set(Gauge::Ready, m_control.isReady() ? 1 : 0);
-    m_metrics.set(Gauge::LinksOpen, static_cast<double>(m_links.size()));
-    m_metrics.set(Gauge::CallsOpen, static_cast<double>(m_entry.open()));
-    m_metrics.set(Gauge::AttemptsRunning, static_cast<double>(m_target.running()));
->>>>>>> main
 }
 
 } // namespace jasminemast
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -17,20 +17,12 @@
 
 } // namespace
 
-<<<<<<< HEAD
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control,
-                         std::function<std::string()> metrics)
-    : m_settings(settings)
-    , m_control(control)
-    , m_metrics(std::move(metrics))
-=======
 OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
                          std::function<void()> updateGauges)
     : m_settings(settings)
     , m_control(control)
     , m_metrics(metrics)
     , m_updateGauges(std::move(updateGauges))
->>>>>>> main
     , m_server(
           loop, {settings.self.address, settings.operatorPort}, HttpServerLimits {},
           [this](const std::shared_ptr<HttpExchange> &exchange) { handle(exchange); },
@@ -49,12 +41,8 @@
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
     } else if (path == "/metrics") {
-<<<<<<< HEAD
-        exchange->respond(StatusOk, {{"Content-Type", "text/plain; version=0.0.4"}}, m_metrics());
-=======
         m_updateGauges();
         exchange->respond(StatusOk, MetricsHeaders, m_metrics.render());
->>>>>>> main
     } else {
         exchange->respond(StatusNotFound, JsonHeaders, "{\"error\":\"no such page\"}\n");
     }
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -55,7 +55,7 @@
 };
 
 TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-                       TargetSideIdentity identity, Announcer announcer)
+                       TargetSideIdentity identity, Metrics &metrics, Announcer announcer)
     : m_loop(loop)
     , m_clock(clock)
     , m_config(config)
@@ -64,7 +64,7 @@
     , m_announcer(std::move(announcer))
     , m_http(loop, MaxTargetConnections)
     , m_probes(loop)
-    , m_core(m_identity.incarnation, TargetLimits {})
+    , m_core(m_identity.incarnation, TargetLimits {}, metrics)
     , m_tickTimer(loop, [this] { tick(); })
     , m_probeTimer(loop, [this] { probeHealth(); })
 {
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -60,7 +60,7 @@
     int granted = 0;
     for (int call = 0; call < 1'000; ++call) {
         budget.earn();
-        granted += budget.refuse({RetryReason::Overloaded, true, 1, Start + 1s}, Start) ? 0 : 1;
+        granted += budget.refuse({ResultCode::SlotsFull, true, 1, Start + 1s}, Start) ? 0 : 1;
     }
     EXPECT_GE(granted, 100);
     EXPECT_LE(granted, 111);
@@ -69,10 +69,10 @@
 TEST(RetryBudgetTest, stopsAreNamed)
 {
     RetryBudget budget {RetryLimits {}};
-    EXPECT_EQ(budget.refuse({RetryReason::AnswerLost, false, 1, Start + 1s}, Start), RetryStop::NotIdempotent);
-    EXPECT_EQ(budget.refuse({RetryReason::AnswerLost, true, 4, Start + 1s}, Start), RetryStop::AttemptsSpent);
-    EXPECT_EQ(budget.refuse({RetryReason::AnswerLost, true, 1, Start}, Start), RetryStop::DeadlineNear);
-    EXPECT_EQ(budget.refuse({RetryReason::Leaving, true, 1, Start + 1s}, Start), std::nullopt);
+    EXPECT_EQ(budget.refuse({ResultCode::OutcomeUnknown, false, 1, Start + 1s}, Start), ResultCode::RetryNotIdempotent);
+    EXPECT_EQ(budget.refuse({ResultCode::OutcomeUnknown, true, 4, Start + 1s}, Start), ResultCode::RetryAttemptsSpent);
+    EXPECT_EQ(budget.refuse({ResultCode::OutcomeUnknown, true, 1, Start}, Start), ResultCode::RetryDeadlineNear);
+    EXPECT_EQ(budget.refuse({ResultCode::TargetLeaving, true, 1, Start + 1s}, Start), std::nullopt);
 }
 
 TEST(AdmissionTest, slotsAreExactAndTheQueueIsBounded)
@@ -252,7 +252,9 @@
 {
     for (const DrainReason reason :
          {DrainReason::Signal, DrainReason::HostList, DrainReason::HealthPage, DrainReason::Ticket}) {
-        TargetCore core(Incarnation(1), {});
+        ManualClock clock;
+        Metrics metrics(clock);
+        TargetCore core(Incarnation(1), {}, metrics);
         core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
         core.onOpen(openRequest(1, 1s), {}, Start);
         core.onOpen(openRequest(2, 1s), {}, Start);
@@ -275,7 +277,9 @@
 
 TEST(TargetCoreTest, endpointRemovedByATicketFinishesItsWork)
 {
-    TargetCore core(Incarnation(1), {});
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
     core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
     core.onOpen(openRequest(1, 1s), {}, Start);
     core.onOpen(openRequest(2, 1s), {}, Start);
@@ -288,14 +292,18 @@
 
 TEST(TargetCoreTest, inputReadAfterAPauseIsAged)
 {
-    TargetCore core(Incarnation(1), {});
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
     core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
     EXPECT_TRUE(refusesWith(core.onOpen(openRequest(1, 1s), 3s, Start), ResultCode::StartTooLate));
 }
 
 TEST(TargetCoreTest, deadlineEndsARunningRequest)
 {
-    TargetCore core(Incarnation(1), {});
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
     core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
     core.onOpen(openRequest(1, 1s), {}, Start);
     const TargetActions actions = core.tick(Start + 1s);
@@ -307,7 +315,9 @@
 
 TEST(TargetCoreTest, fenceWithdrawsAWaitingCall)
 {
-    TargetCore core(Incarnation(1), {});
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
     core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
     core.onOpen(openRequest(1, 1s), {}, Start);
     core.onOpen(openRequest(2, 1s), {}, Start);
@@ -319,7 +329,9 @@
 
 TEST(TargetCoreTest, cancelledWaitingCallIsNotRun)
 {
-    TargetCore core(Incarnation(1), {});
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
     core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
     core.onOpen(openRequest(1, 1s), {}, Start);
     core.onOpen(openRequest(2, 1s), {}, Start);
--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -60,7 +60,7 @@
     ++entry.process;
     const EntryPlace place {HostId("entry" + std::to_string(index)), Incarnation(entry.process), ZoneId("a"),
                             RegionId("r")};
-    entry.core = std::make_unique<EntryCore>(place, EntryLimits {}, 7 * index + entry.process);
+    entry.core = std::make_unique<EntryCore>(place, EntryLimits {}, 7 * index + entry.process, m_metrics);
     std::vector<Candidate> candidates;
     for (std::size_t i = 0; i < TargetCount; ++i) {
         candidates.push_back({endpointOf(i), targetHost(i), ZoneId("a"), RegionId("r"), Slots, false});
@@ -76,7 +76,7 @@
     limits.fence.maxAttempts = m_remembered;
     limits.fence.maxKeptBytes = 32;
     limits.fence.maxKeptAnswer = 16;
-    target.core = std::make_unique<TargetCore>(Incarnation(target.process), limits);
+    target.core = std::make_unique<TargetCore>(Incarnation(target.process), limits, m_metrics);
     target.core->setEndpoints({{endpointOf(index), Slots, false}}, m_clock.now());
     target.running.clear();
     target.leaving = false;
--- a/unittests/call/simulation.h
+++ b/unittests/call/simulation.h
@@ -112,6 +112,7 @@
     Sabotage m_sabotage;
     std::size_t m_remembered; ///< finished attempts that a target's node remembers
     ManualClock m_clock;
+    Metrics m_metrics {m_clock};
     std::vector<Entry> m_entries;
     std::vector<Target> m_targets;
     std::vector<Message> m_messages;
