--- a/include/jasminemast/config/log.h
+++ b/include/jasminemast/config/log.h
@@ -121,6 +121,9 @@
     /// digest. A snapshot, or the accepted head of a number in between, is then needed.
     [[nodiscard]] bool needsSnapshot() const;
 
+    /// The digest that accepted heads commit for a ticket that is not folded yet; nothing while it is unknown.
+    [[nodiscard]] std::optional<Digest> committedDigest(TicketNumber number) const;
+
     /// Takes the bytes of ticket \p number and folds all that have become complete. A run of tickets is best offered
     /// from its highest number down, since each commits the one below.
     OfferResult offerTicket(TicketNumber number, std::string bytes, WallTimePoint now);
--- a/include/jasminemast/config/state.h
+++ b/include/jasminemast/config/state.h
@@ -81,4 +81,8 @@
 /// The digest over all objects of \p state.
 Digest computeStateDigest(const State &state);
 
+/// Checks that every route's service and every service's endpoints exist.
+/// \throws ResultError with TicketRouteWithoutService or TicketServiceWithoutEndpoint.
+void checkReferences(const State &state);
+
 } // namespace jasminemast
--- a/include/jasminemast/config/ticket.h
+++ b/include/jasminemast/config/ticket.h
@@ -22,6 +22,7 @@
     static constexpr std::size_t MaxNameLength = 128;
     static constexpr std::size_t MaxPathLength = 1024;
     static constexpr std::size_t MaxMethodLength = 32;
+    static constexpr std::size_t MaxMethods = 32; ///< of one route
     static constexpr std::uint64_t MaxNumber = (1ULL << 53U) - 1; ///< exact in every JSON reader
 };
 
--- /dev/null
+++ b/include/jasminemast/support/base64.h
@@ -0,0 +1,17 @@
+// Base64, for binary data inside JSON.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace jasminemast
+{
+
+/// Padded, without line breaks.
+std::string encodeBase64(std::string_view data);
+
+/// Decodes what encodeBase64() gives; nothing for any other text.
+std::optional<std::string> decodeBase64(std::string_view text);
+
+} // namespace jasminemast
--- a/lib/config/log.cpp
+++ b/lib/config/log.cpp
@@ -155,6 +155,15 @@
     return false;
 }
 
+std::optional<Digest> TicketLog::committedDigest(TicketNumber number) const
+{
+    const auto found = m_pending.find(number);
+    if (found == m_pending.end()) {
+        return std::nullopt;
+    }
+    return found->second.digest;
+}
+
 OfferResult TicketLog::offerTicket(TicketNumber number, std::string bytes, WallTimePoint now)
 {
     const auto found = m_pending.find(number);
--- /dev/null
+++ b/lib/config/snapshot.cpp
@@ -0,0 +1,199 @@
+// The wire form of snapshots.
+#include "jasminemast/config/snapshot.h"
+
+#include "jasminemast/config/ticket.h"
+#include "jasminemast/support/archive.h"
+#include "jasminemast/support/compression.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::uint32_t FormatVersion = 1;
+
+[[noreturn]] void failMalformed(const std::string &what)
+{
+    throw ResultError(ResultCode::SnapshotMalformed, what);
+}
+
+std::uint32_t readCount(DecodeArchive &archive, std::size_t most)
+{
+    std::uint32_t count = 0;
+    archive(count);
+    if (count > most) {
+        failMalformed("more than " + std::to_string(most) + " items");
+    }
+    return count;
+}
+
+/// A list of at most \p most items, grown item by item: a hostile length takes no memory.
+template<class Item>
+void carryList(EncodeArchive &archive, std::vector<Item> &items, std::size_t /*most*/)
+{
+    archive(static_cast<std::uint32_t>(items.size()));
+    for (Item &item : items) {
+        archive(item);
+    }
+}
+
+template<class Item>
+void carryList(DecodeArchive &archive, std::vector<Item> &items, std::size_t most)
+{
+    const std::uint32_t count = readCount(archive, most);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        archive(items.emplace_back());
+    }
+}
+
+template<class Archive>
+void carry(Archive &archive, Route &route)
+{
+    std::int64_t timeoutMs = route.timeout.count();
+    archive(route.id, route.pathPrefix, route.service, route.repeatable, timeoutMs);
+    carryList(archive, route.methods, TicketLimits::MaxMethods);
+    route.timeout = Milliseconds(timeoutMs);
+}
+
+template<class Archive>
+void carry(Archive &archive, Service &service)
+{
+    archive(service.id);
+    carryList(archive, service.endpoints, TicketLimits::MaxObjects);
+}
+
+template<class Archive>
+void carry(Archive &archive, Endpoint &endpoint)
+{
+    archive(endpoint.id, endpoint.host, endpoint.port, endpoint.slots, endpoint.draining);
+}
+
+template<class Archive>
+void carry(Archive &archive, LogEntry &entry)
+{
+    auto code = static_cast<std::int32_t>(number(entry.code));
+    archive(entry.head, code, entry.detail);
+    const auto known = resultFromNumber(code);
+    if (!known) {
+        failMalformed("unknown result code " + std::to_string(code));
+    }
+    entry.code = *known;
+}
+
+template<class Map>
+void writeObjects(EncodeArchive &archive, const Map &objects)
+{
+    archive(static_cast<std::uint32_t>(objects.size()));
+    for (const auto &[id, object] : objects) {
+        auto copy = *object;
+        carry(archive, copy);
+    }
+}
+
+template<class Map>
+void readObjects(DecodeArchive &archive, Map &objects)
+{
+    using Object = std::remove_const_t<typename Map::mapped_type::element_type>;
+    const std::uint32_t count = readCount(archive, TicketLimits::MaxObjects);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        auto object = std::make_shared<Object>();
+        carry(archive, *object);
+        const auto id = object->id;
+        if (!objects.empty() && id <= objects.rbegin()->first) {
+            failMalformed("objects out of order at " + id.value());
+        }
+        objects.emplace_hint(objects.end(), id, std::move(object));
+    }
+}
+
+void writeHistory(EncodeArchive &archive, const std::vector<LogEntry> &history)
+{
+    const std::size_t count = std::min(history.size(), SnapshotLimits::MaxHistory);
+    archive(static_cast<std::uint32_t>(count));
+    for (auto entry = history.end() - static_cast<std::ptrdiff_t>(count); entry != history.end(); ++entry) {
+        LogEntry copy = *entry;
+        carry(archive, copy);
+    }
+}
+
+std::vector<LogEntry> readHistory(DecodeArchive &archive, TicketNumber last)
+{
+    std::vector<LogEntry> history;
+    const std::uint32_t count = readCount(archive, SnapshotLimits::MaxHistory);
+    for (std::uint32_t i = 0; i < count; ++i) {
+        LogEntry entry;
+        carry(archive, entry);
+        entry.origin = LogEntry::Origin::History;
+        const bool isAscending = history.empty() || entry.head.number > history.back().head.number;
+        if (!isAscending || entry.head.number > last) {
+            failMalformed("history out of order");
+        }
+        history.push_back(std::move(entry));
+    }
+    return history;
+}
+
+Snapshot readSnapshot(DecodeArchive &archive)
+{
+    std::uint32_t version = 0;
+    archive(version);
+    if (version != FormatVersion) {
+        failMalformed("format version " + std::to_string(version));
+    }
+    State state;
+    archive(state.number, state.ticketDigest, state.stateDigest);
+    if (state.number.value() > TicketLimits::MaxNumber) {
+        failMalformed("ticket number out of range");
+    }
+    readObjects(archive, state.routes);
+    readObjects(archive, state.services);
+    readObjects(archive, state.endpoints);
+    Snapshot snapshot;
+    snapshot.history = readHistory(archive, state.number);
+    if (archive.remaining() != 0) {
+        failMalformed("bytes left over");
+    }
+    if (computeStateDigest(state) != state.stateDigest) {
+        throw ResultError(ResultCode::SnapshotWrongDigest, "expected " + state.stateDigest.hex());
+    }
+    checkReferences(state);
+    snapshot.state = std::make_shared<const State>(std::move(state));
+    return snapshot;
+}
+
+} // namespace
+
+std::string encodeSnapshot(const State &state, const std::vector<LogEntry> &history)
+{
+    std::string plain;
+    EncodeArchive archive(plain);
+    archive(FormatVersion, state.number, state.ticketDigest, state.stateDigest);
+    writeObjects(archive, state.routes);
+    writeObjects(archive, state.services);
+    writeObjects(archive, state.endpoints);
+    writeHistory(archive, history);
+    return compress(plain);
+}
+
+Snapshot decodeSnapshot(std::string_view bytes)
+{
+    if (bytes.size() > SnapshotLimits::MaxPackedBytes) {
+        throw ResultError(ResultCode::SnapshotTooLarge, std::to_string(bytes.size()) + " bytes");
+    }
+    const std::string plain = decompress(bytes, SnapshotLimits::MaxPlainBytes,
+                                         {ResultCode::SnapshotMalformed, ResultCode::SnapshotTooLarge});
+    DecodeArchive archive(plain);
+    try {
+        return readSnapshot(archive);
+    } catch (const ResultError &error) {
+        const bool isOwn = error.code() == ResultCode::SnapshotWrongDigest;
+        throw ResultError(isOwn ? error.code() : ResultCode::SnapshotMalformed, error.detail());
+    } catch (const std::exception &error) {
+        failMalformed(error.what());
+    }
+}
+
+} // namespace jasminemast
--- a/lib/config/state.cpp
+++ b/lib/config/state.cpp
@@ -1,6 +1,8 @@
 // Lookups in a state and its digest.
 #include "jasminemast/config/state.h"
 
+#include "jasminemast/support/result.h"
+
 #include <algorithm>
 
 namespace jasminemast
@@ -100,4 +102,22 @@
     return sha256(text);
 }
 
+void checkReferences(const State &state)
+{
+    for (const auto &[id, route] : state.routes) {
+        if (!state.services.contains(route->service)) {
+            throw ResultError(ResultCode::TicketRouteWithoutService,
+                              "/routes/" + id.value() + ": service " + route->service.value());
+        }
+    }
+    for (const auto &[id, service] : state.services) {
+        for (const EndpointId &endpoint : service->endpoints) {
+            if (!state.endpoints.contains(endpoint)) {
+                throw ResultError(ResultCode::TicketServiceWithoutEndpoint,
+                                  "/services/" + id.value() + ": endpoint " + endpoint.value());
+            }
+        }
+    }
+}
+
 } // namespace jasminemast
--- a/lib/config/ticket.cpp
+++ b/lib/config/ticket.cpp
@@ -25,23 +25,6 @@
     }
 }
 
-void checkReferences(const State &state)
-{
-    for (const auto &[id, route] : state.routes) {
-        if (!state.services.contains(route->service)) {
-            fail(ResultCode::TicketRouteWithoutService, "/routes/" + id.value(), "service " + route->service.value());
-        }
-    }
-    for (const auto &[id, service] : state.services) {
-        for (const EndpointId &endpoint : service->endpoints) {
-            if (!state.endpoints.contains(endpoint)) {
-                fail(ResultCode::TicketServiceWithoutEndpoint, "/services/" + id.value(),
-                     "endpoint " + endpoint.value());
-            }
-        }
-    }
-}
-
 State foldTicket(const State &before, const Ticket &ticket)
 {
     State after = before;
--- a/lib/config/ticketparser.cpp
+++ b/lib/config/ticketparser.cpp
@@ -155,6 +155,10 @@
     route.service = ServiceId(readName(required(value, path, "service"), path + "/service"));
     if (value.contains("methods")) {
         route.methods = readSet(value["methods"], path + "/methods", readMethod);
+        if (route.methods.size() > TicketLimits::MaxMethods) {
+            fail(ResultCode::TicketWrongType, path + "/methods",
+                 "expected up to " + std::to_string(TicketLimits::MaxMethods));
+        }
     }
     if (value.contains("repeatable")) {
         route.repeatable = readBool(value["repeatable"], path + "/repeatable");
--- a/unittests/config/logtest.cpp
+++ b/unittests/config/logtest.cpp
@@ -97,6 +97,8 @@
     TicketChain chain(3);
     TicketLog log = logAt(chain, 1);
     log.offerHead(chain.head(3));
+    EXPECT_EQ(log.committedDigest(TicketNumber(3)), chain.head(3).digest);
+    EXPECT_FALSE(log.committedDigest(TicketNumber(2)));
     EXPECT_EQ(log.offerTicket(TicketNumber(3), chain.bytes(2), Now).offer, TicketOffer::WrongDigest);
     EXPECT_EQ(log.offerTicket(TicketNumber(2), chain.bytes(2), Now).offer, TicketOffer::NotWanted);
     EXPECT_EQ(log.offerTicket(TicketNumber(1), chain.bytes(1), Now).offer, TicketOffer::NotWanted);
--- a/unittests/config/tickettest.cpp
+++ b/unittests/config/tickettest.cpp
@@ -28,6 +28,16 @@
     return R"(,"endpoints":{"e":{"host":"h1",)" + fields + "}}";
 }
 
+std::string manyMethods(std::size_t count)
+{
+    std::string text = "\"M\"";
+    for (std::size_t i = 1; i < count; ++i) {
+        const std::string name {static_cast<char>('A' + i / 26), static_cast<char>('A' + i % 26)};
+        text += ",\"" + name + "\"";
+    }
+    return text;
+}
+
 void expectRefused(const std::string &name, const std::string &bytes, ResultCode code, const std::string &place)
 {
     const StatePtr before = goodState();
@@ -80,6 +90,8 @@
          "/routes/r2/methods/1"},
         {"method twice", routeSection(R"("pathPrefix":"/","methods":["GET","GET"])"), Code::TicketDuplicateItem,
          "/routes/r2/methods/1"},
+        {"33 methods", routeSection(R"("pathPrefix":"/","methods":[)" + manyMethods(33) + "]"), Code::TicketWrongType,
+         "/routes/r2/methods"},
         {"methods no array", routeSection(R"("pathPrefix":"/","methods":"GET")"), Code::TicketWrongType,
          "/routes/r2/methods"},
         {"repeatable no boolean", routeSection(R"("pathPrefix":"/","repeatable":1)"), Code::TicketWrongType,
