[config] add the difference between two states and findings for operators

For 'ticket check': objects added, changed with their fields, and removed; and what is rarely meant, such as a route that can never be chosen.

--- /dev/null
+++ b/lib/config/objectjson.h
@@ -0,0 +1,15 @@
+// Objects as JSON, in the form that tickets use.
+#pragma once
+
+#include "jasminemast/config/state.h"
+
+#include <nlohmann/json.hpp>
+
+namespace jasminemast
+{
+
+nlohmann::json toJson(const Route &route);
+nlohmann::json toJson(const Service &service);
+nlohmann::json toJson(const Endpoint &endpoint);
+
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/config/difftest.cpp
@@ -0,0 +1,64 @@
+// The difference a ticket makes, and the findings shown with it.
+#include "jasminemast/config/diff.h"
+#include "ticketchain.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace jasminemast;
+using testing::ElementsAre;
+using testing::IsEmpty;
+
+namespace
+{
+
+const std::string Base = R"(,"routes":{"r":{"pathPrefix":"/a/","service":"s"}},"services":{"s":{"endpoints":["e"]}},
+    "endpoints":{"e":{"host":"h1","port":9000,"slots":12}})";
+
+} // namespace
+
+TEST(DiffTest, namesWhatWasAddedChangedAndRemoved)
+{
+    TicketChain chain;
+    chain.add(Base);
+    chain.add(
+        R"(,"routes":{"r":{"pathPrefix":"/a/","service":"t","repeatable":true},"q":{"pathPrefix":"/","service":"t"}},
+        "services":{"s":null,"t":{"endpoints":["e"]}},"endpoints":{"e":{"host":"h1","port":9000,"slots":12}})");
+    const auto changes = diffStates(*chain.fold(1), *chain.fold(2));
+    const std::vector<FieldChange> fields = {{"repeatable", "null", "true"}, {"service", "\"s\"", "\"t\""}};
+    EXPECT_THAT(changes,
+                ElementsAre(ObjectChange {ChangeKind::Added, ObjectKind::Route, "q", {}},
+                            ObjectChange {ChangeKind::Changed, ObjectKind::Route, "r", fields},
+                            ObjectChange {ChangeKind::Removed, ObjectKind::Service, "s", {}},
+                            ObjectChange {ChangeKind::Added, ObjectKind::Service, "t", {}}));
+    EXPECT_THAT(diffStates(*chain.fold(2), *chain.fold(2)), IsEmpty());
+}
+
+TEST(DiffTest, findsWhatIsRarelyMeant)
+{
+    struct Case
+    {
+        std::string sections;
+        std::vector<std::string> findings;
+    };
+    const std::vector<Case> cases = {
+        {"", {}},
+        {R"(,"routes":{"q":{"pathPrefix":"/a/","service":"s","methods":["POST"]}})", {}},
+        {R"(,"routes":{"q":{"pathPrefix":"/a/","service":"s"}})",
+         {"route r is never chosen: another route has its prefix and methods"}},
+        {R"(,"routes":{"q":{"pathPrefix":"/b","service":"s","methods":["GET","PUT"]},
+            "p":{"pathPrefix":"/b","service":"s","methods":["PUT","GET"]}})",
+         {"route q is never chosen: another route has its prefix and methods"}},
+        {R"(,"services":{"t":{"endpoints":[]}})", {"service t has no endpoint that takes calls"}},
+        {R"(,"endpoints":{"e":{"host":"h1","port":9000,"slots":12,"draining":true}})",
+         {"service s has no endpoint that takes calls"}},
+        {R"(,"endpoints":{"f":{"host":"h1","port":9000,"slots":12}})",
+         {"endpoint f belongs to no service", "endpoints e and f are the same port of host h1"}},
+    };
+    for (const Case &row : cases) {
+        TicketChain chain;
+        chain.add(Base);
+        chain.add(row.sections);
+        EXPECT_EQ(findOddities(*chain.fold(2)), row.findings) << row.sections;
+    }
+}
