--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -124,8 +124,10 @@
     const StatePtr state = m_context.config.current();
     const Route *route = state->findRoute(request.method, request.path());
     if (route == nullptr) {
-        m_context.metrics.count(Counter::CallsNotRun, ResultCode::NoRoute);
-        respondWithoutAnswer(*exchange, state->number, Outcome::NotRun, ResultCode::NoRoute, m_draining);
+        // Without any ticket this node cannot know what exists.
+        const ResultCode code = state->number == TicketNumber(0) ? ResultCode::NotReady : ResultCode::NoRoute;
+        m_context.metrics.count(Counter::CallsNotRun, code);
+        respondWithoutAnswer(*exchange, state->number, Outcome::NotRun, code, m_draining);
         return;
     }
     CallSpec spec;
