--- /dev/null
+++ b/utils/standins/callrecord.cpp
@@ -0,0 +1,90 @@
+// JSON forms of the caller's records and their summary.
+#include "caller.h"
+
+#include <algorithm>
+
+namespace jasminemast::standin
+{
+
+namespace
+{
+
+const char *outcomeName(CallOutcome outcome)
+{
+    switch (outcome) {
+    case CallOutcome::Whole:
+        return "whole";
+    case CallOutcome::NotRun:
+        return "not-run";
+    case CallOutcome::Unknown:
+        return "unknown";
+    case CallOutcome::Failed:
+        return "failed";
+    case CallOutcome::Broken:
+        return "broken";
+    case CallOutcome::Wrong:
+        return "wrong";
+    }
+    return "unknown";
+}
+
+double quantileMs(const std::vector<std::int64_t> &sorted, double share)
+{
+    constexpr double MicrosecondsPerMillisecond = 1000;
+    if (sorted.empty()) {
+        return 0;
+    }
+    const auto index = static_cast<std::size_t>(share * static_cast<double>(sorted.size()));
+    return static_cast<double>(sorted[std::min(index, sorted.size() - 1)]) / MicrosecondsPerMillisecond;
+}
+
+} // namespace
+
+nlohmann::json toJson(const CallRecord &record)
+{
+    constexpr double MicrosecondsPerMillisecond = 1000;
+    nlohmann::json json = {{"id", record.id},
+                           {"method", record.method},
+                           {"path", record.path},
+                           {"base", record.base},
+                           {"status", record.status},
+                           {"result", outcomeName(record.outcome)},
+                           {"outcome", record.outcomeHeader},
+                           {"ticket", record.ticketHeader},
+                           {"code", record.codeHeader},
+                           {"bytes", record.bytes},
+                           {"startedMs", record.startedMs},
+                           {"ms", static_cast<double>(record.microseconds) / MicrosecondsPerMillisecond}};
+    if (!record.detail.empty()) {
+        json["detail"] = record.detail;
+    }
+    return json;
+}
+
+nlohmann::json summarize(const std::vector<CallRecord> &records, double seconds)
+{
+    nlohmann::json results = nlohmann::json::object();
+    nlohmann::json statuses = nlohmann::json::object();
+    std::vector<std::int64_t> times;
+    for (const CallRecord &record : records) {
+        nlohmann::json &result = results[outcomeName(record.outcome)];
+        result = result.is_null() ? 1 : result.get<std::uint64_t>() + 1;
+        nlohmann::json &status = statuses[std::to_string(record.status)];
+        status = status.is_null() ? 1 : status.get<std::uint64_t>() + 1;
+        if (record.outcome == CallOutcome::Whole) {
+            times.push_back(record.microseconds);
+        }
+    }
+    std::sort(times.begin(), times.end());
+    return {{"calls", records.size()},
+            {"whole", times.size()},
+            {"results", results},
+            {"statuses", statuses},
+            {"seconds", seconds},
+            {"p50Ms", quantileMs(times, 0.5)},
+            {"p99Ms", quantileMs(times, 0.99)},
+            {"p999Ms", quantileMs(times, 0.999)},
+            {"maxMs", quantileMs(times, 1)}};
+}
+
+} // namespace jasminemast::standin
--- a/utils/standins/main.cpp
+++ b/utils/standins/main.cpp
@@ -1,6 +1,8 @@
 // The program that stands in for the outside world: one sub-command a process.
+#include "caller.h"
 #include "configsource.h"
 #include "hostlist.h"
+#include "target.h"
 
 #include <array>
 #include <gflags/gflags.h>
@@ -16,9 +18,11 @@
     int (*run)();
 };
 
-constexpr std::array<SubCommand, 2> SubCommands {{
+constexpr std::array<SubCommand, 4> SubCommands {{
     {"config-source", jasminemast::standin::runConfigSource},
     {"host-list", jasminemast::standin::runHostList},
+    {"target", jasminemast::standin::runTarget},
+    {"load", jasminemast::standin::runLoad},
 }};
 
 int runSubCommand(std::string_view name)
--- /dev/null
+++ b/utils/standins/patternbody.h
@@ -0,0 +1,40 @@
+// Deterministic bodies and the checksum by which a caller knows that one arrived whole.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace jasminemast::standin
+{
+
+/// Writes the bytes at \p offset of the endless pattern of \p seed.
+void fillPattern(std::uint64_t seed, std::uint64_t offset, char *buffer, std::size_t length);
+
+/// An XXH3 checksum that is fed piece by piece.
+class Checksum
+{
+public:
+    Checksum();
+    ~Checksum();
+    Checksum(const Checksum &) = delete;
+    Checksum &operator=(const Checksum &) = delete;
+
+    void add(std::string_view bytes);
+    /// 16 hexadecimal digits over all bytes so far.
+    [[nodiscard]] std::string hex() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+/// The checksum of \p bytes.
+std::string checksumOf(std::string_view bytes);
+
+/// The checksum of the first \p length bytes of the pattern of \p seed.
+std::string checksumOfPattern(std::uint64_t seed, std::uint64_t length);
+
+} // namespace jasminemast::standin
--- /dev/null
+++ b/utils/standins/target.cpp
@@ -0,0 +1,309 @@
+// The work of the back end: each request holds a slot until its answer has left or its client has.
+#include "target.h"
+
+#include "flags.h"
+#include "jsonhttp.h"
+#include "patternbody.h"
+#include "socketaddress.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <gflags/gflags.h>
+#include <optional>
+#include <stdexcept>
+
+DEFINE_uint32(slots, 12, "target: requests that run at once");
+DEFINE_uint32(service_ms, 2, "target: time that one request takes");
+DEFINE_uint32(cold_start_ms, 0, "target: time after the start during which it is cold");
+
+namespace jasminemast::standin
+{
+
+namespace
+{
+
+constexpr Milliseconds HealthInterval {20};
+
+constexpr std::array<std::pair<const char *, TargetMode>, 9> ModeNames {{
+    {"ok", TargetMode::Ok},
+    {"cold", TargetMode::Cold},
+    {"draining", TargetMode::Draining},
+    {"shed", TargetMode::Shed},
+    {"slow", TargetMode::Slow},
+    {"frozen", TargetMode::Frozen},
+    {"closeAfterRun", TargetMode::CloseAfterRun},
+    {"closeBeforeRun", TargetMode::CloseBeforeRun},
+    {"lyingHealth", TargetMode::LyingHealth},
+}};
+
+std::optional<TargetMode> parseMode(const std::string &name)
+{
+    for (const auto &[text, mode] : ModeNames) {
+        if (name == text) {
+            return mode;
+        }
+    }
+    return std::nullopt;
+}
+
+std::int64_t wallMilliseconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<Milliseconds>(now).count();
+}
+
+std::optional<Milliseconds> deadlineOf(const HttpRequest &request)
+{
+    const std::optional<std::string> text = request.header("jasminemast-deadline-ms");
+    if (!text) {
+        return std::nullopt;
+    }
+    std::int64_t value = 0;
+    const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
+    if (error != std::errc()) {
+        return std::nullopt;
+    }
+    return Milliseconds(value);
+}
+
+} // namespace
+
+/// One request that holds a slot. The ledger outlives it.
+struct Target::Work
+{
+    HttpExchangePtr exchange;
+    Run &run;
+    bool holdsSlot = true;
+};
+
+Target::Target(EventLoop &loop, const sockaddr_in &address, TargetSettings settings)
+    : m_loop(loop)
+    , m_settings(std::move(settings))
+    , m_started(std::chrono::steady_clock::now())
+    , m_healthTimer(loop, [this] { sampleHealth(); })
+    , m_server(loop, address, [this](const HttpExchangePtr &exchange) { handle(exchange); })
+{
+    sampleHealth();
+}
+
+void Target::handle(const HttpExchangePtr &exchange)
+{
+    const std::string &path = exchange->request.path;
+    if (path == "/health") {
+        showHealth(exchange);
+        return;
+    }
+    if (path.starts_with("/admin/")) {
+        handleAdmin(exchange);
+        return;
+    }
+    work(exchange);
+}
+
+void Target::handleAdmin(const HttpExchangePtr &exchange)
+{
+    const std::string &path = exchange->request.path;
+    if (path == "/admin/ledger") {
+        exchange->respond({200, m_ledger.lines(), {{"Content-Type", "application/jsonl"}}, {}});
+        return;
+    }
+    if (path == "/admin/stats") {
+        exchange->respond(jsonResponse(200,
+                                       {{"name", m_settings.name},
+                                        {"busy", m_busy},
+                                        {"peakBusy", m_peakBusy},
+                                        {"slots", m_settings.slots},
+                                        {"runs", m_ledger.runs().size()},
+                                        {"shed", m_shed}}));
+        return;
+    }
+    if (path == "/admin/fault" && exchange->request.method == "POST") {
+        setFault(exchange);
+        return;
+    }
+    exchange->respond(textResponse(404, "no such page"));
+}
+
+void Target::setFault(const HttpExchangePtr &exchange)
+{
+    try {
+        const nlohmann::json json = parseObject(exchange->request.body);
+        const std::string name = json.at("mode").get<std::string>();
+        const std::optional<TargetMode> mode = parseMode(name);
+        if (!mode) {
+            throw std::invalid_argument("unknown mode " + name);
+        }
+        m_settings.slowFactor = json.value("slowFactor", m_settings.slowFactor);
+        m_settings.healthLag = Milliseconds(json.value("healthLagMs", m_settings.healthLag.count()));
+        m_settings.service = Milliseconds(json.value("serviceMs", m_settings.service.count()));
+        m_mode = *mode;
+        exchange->respond(jsonResponse(200, {{"mode", name}}));
+    } catch (const std::exception &error) {
+        exchange->respond(jsonResponse(400, {{"error", error.what()}}));
+    }
+}
+
+bool Target::isCold() const
+{
+    return m_mode == TargetMode::Cold || std::chrono::steady_clock::now() - m_started < m_settings.coldStart;
+}
+
+Target::Health Target::currentHealth() const
+{
+    Health health {std::chrono::steady_clock::now(), "ok", 0};
+    if (m_mode == TargetMode::LyingHealth) {
+        return health;
+    }
+    health.load = std::min(1.0, static_cast<double>(m_busy) / std::max(1U, m_settings.slots));
+    if (m_mode == TargetMode::Draining) {
+        health.state = "draining";
+    } else if (isCold()) {
+        health.state = "cold";
+    }
+    return health;
+}
+
+void Target::sampleHealth()
+{
+    const TimePoint now = std::chrono::steady_clock::now();
+    m_healthSamples.push_back(currentHealth());
+    while (m_healthSamples.size() > 1 && m_healthSamples[1].time <= now - m_settings.healthLag) {
+        m_healthSamples.pop_front();
+    }
+    m_healthTimer.start(HealthInterval);
+}
+
+void Target::showHealth(const HttpExchangePtr &exchange)
+{
+    if (m_mode == TargetMode::Frozen) {
+        return;
+    }
+    const bool lags = m_settings.healthLag.count() > 0;
+    const Health health = lags ? m_healthSamples.front() : currentHealth();
+    exchange->respond(jsonResponse(200, {{"state", health.state}, {"load", health.load}}));
+}
+
+Milliseconds Target::serviceTime() const
+{
+    const bool slowed = m_mode == TargetMode::Slow || isCold();
+    return slowed ? m_settings.service * m_settings.slowFactor : m_settings.service;
+}
+
+void Target::work(const HttpExchangePtr &exchange)
+{
+    const bool refuses = m_mode == TargetMode::Shed || m_mode == TargetMode::LyingHealth;
+    if (refuses || m_busy >= m_settings.slots) {
+        ++m_shed;
+        exchange->respond({503, "shed\n", {{"Retry-After", "1"}}, {}});
+        return;
+    }
+    if (m_mode == TargetMode::CloseBeforeRun) {
+        exchange->abort();
+        return;
+    }
+    const HttpRequest &request = exchange->request;
+    Run &run = m_ledger.begin({request.header("x-call-id").value_or(""), request.method, request.path,
+                               wallMilliseconds(), 0, false, m_mode == TargetMode::Draining, RunEnd::Running});
+    const auto item = std::make_shared<Work>(Work {exchange, run});
+    ++m_busy;
+    m_peakBusy = std::max(m_peakBusy, m_busy);
+    exchange->onCancel = [this, item] {
+        endWork(*item, RunEnd::Cancelled);
+    };
+    exchange->onEnd = [this, item](HttpExchange::End end) {
+        endWork(*item, end == HttpExchange::End::Answered ? RunEnd::Answered : RunEnd::Unanswered);
+    };
+    if (m_mode == TargetMode::Frozen) {
+        return;
+    }
+    const Milliseconds service = serviceTime();
+    const std::optional<Milliseconds> deadline = deadlineOf(request);
+    if (deadline && *deadline < service) {
+        m_loop.callAfter(std::max(*deadline, Milliseconds(0)), [this, item] { expire(item); });
+        return;
+    }
+    if (service.count() == 0) {
+        complete(item);
+        return;
+    }
+    m_loop.callAfter(service, [this, item] { complete(item); });
+}
+
+void Target::complete(const std::shared_ptr<Work> &work)
+{
+    if (work->run.end != RunEnd::Running) {
+        return;
+    }
+    work->run.finishedWork = true;
+    if (m_mode == TargetMode::CloseAfterRun) {
+        endWork(*work, RunEnd::Unanswered);
+        work->exchange->abort();
+        return;
+    }
+    const HttpRequest &request = work->exchange->request;
+    work->exchange->respond(request.path.ends_with("/blob") ? makeBlob(request) : makeAnswer(request));
+}
+
+void Target::expire(const std::shared_ptr<Work> &work)
+{
+    if (work->run.end != RunEnd::Running) {
+        return;
+    }
+    endWork(*work, RunEnd::Expired);
+    work->exchange->respond(textResponse(504, "deadline exceeded"));
+}
+
+void Target::endWork(Work &work, RunEnd end)
+{
+    if (!work.holdsSlot) {
+        return;
+    }
+    work.holdsSlot = false;
+    --m_busy;
+    work.run.end = end;
+    work.run.finishedMs = wallMilliseconds();
+}
+
+HttpResponse Target::makeAnswer(const HttpRequest &request) const
+{
+    const std::string callId = request.header("x-call-id").value_or("");
+    const nlohmann::json json = {
+        {"callId", callId},     {"target", m_settings.name},           {"method", request.method},
+        {"path", request.path}, {"requestBytes", request.body.size()}, {"requestChecksum", checksumOf(request.body)}};
+    HttpResponse response = jsonResponse(200, json);
+    response.headers.emplace_back("X-Call-Id", callId);
+    response.headers.emplace_back("X-Checksum", checksumOf(response.body));
+    return response;
+}
+
+HttpResponse Target::makeBlob(const HttpRequest &request) const
+{
+    constexpr std::uint64_t MaxBlobBytes = 1ULL << 30U;
+    const std::uint64_t seed = request.number("seed", 1);
+    HttpResponse response;
+    response.stream.emplace();
+    response.stream->bytes = std::min(request.number("bytes", 1024), MaxBlobBytes);
+    response.stream->pieceBytes = std::max<std::uint64_t>(1, request.number("chunkBytes", 64ULL * 1024));
+    response.stream->pieceDelay = Milliseconds(request.number("chunkDelayMs", 0));
+    response.stream->fill = [seed](std::uint64_t offset, char *buffer, std::size_t length) {
+        fillPattern(seed, offset, buffer, length);
+    };
+    response.headers = {{"Content-Type", "application/octet-stream"},
+                        {"X-Call-Id", request.header("x-call-id").value_or("")},
+                        {"X-Checksum", checksumOfPattern(seed, response.stream->bytes)}};
+    return response;
+}
+
+int runTarget()
+{
+    EventLoop loop;
+    const TargetSettings settings {FLAGS_name, FLAGS_slots, Milliseconds(FLAGS_service_ms),
+                                   Milliseconds(FLAGS_cold_start_ms)};
+    const Target target(loop, parseSocketAddress(FLAGS_listen), settings);
+    loop.stopOnSignals();
+    loop.run();
+    return 0;
+}
+
+} // namespace jasminemast::standin
