--- /dev/null
+++ b/include/jasminemast/node/operatorapi.h
@@ -0,0 +1,33 @@
+// The HTTP interface for operators of one node.
+#pragma once
+
+#include "jasminemast/net/httpserver.h"
+#include "jasminemast/node/directcontrol.h"
+#include "jasminemast/support/metrics.h"
+
+#include <functional>
+
+namespace jasminemast
+{
+
+/// Answers /v1/status, /v1/tickets, /v1/ready and /metrics.
+class OperatorApi
+{
+public:
+    /// \p updateGauges is called before metrics are rendered.
+    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
+                std::function<void()> updateGauges);
+
+private:
+    void handle(const std::shared_ptr<HttpExchange> &exchange) const;
+    [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] std::string logbookJson() const;
+
+    const NodeSettings &m_settings;
+    const DirectControl &m_control;
+    Metrics &m_metrics;
+    std::function<void()> m_updateGauges;
+    HttpServer m_server;
+};
+
+} // namespace jasminemast
--- /dev/null
+++ b/lib/net/httpserver.cpp
@@ -0,0 +1,406 @@
+// libmicrohttpd in external-epoll mode, driven by libev.
+#include "jasminemast/net/httpserver.h"
+
+#include <microhttpd.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <cstdarg>
+#include <cstring>
+#include <utility>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::size_t BodyBlockBytes = 32 << 10;
+constexpr std::size_t ConnectionMemoryBytes = 64 << 10;
+
+/// Body bytes beyond the limit that are still read, so that the caller sees its refusal; after them it is cut off.
+constexpr std::size_t MaxDroppedBytes = 4 << 20;
+constexpr unsigned StatusBadRequest = 400;
+constexpr unsigned StatusContentTooLarge = 413;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned LeastFinalStatus = 200;
+constexpr unsigned MostStatus = 599;
+/// How libmicrohttpd's log names a request that it refuses by itself.
+constexpr std::string_view RefusalMessage = "Error processing request";
+
+bool announcesMoreThan(const HttpRequest &request, std::size_t limit)
+{
+    const std::string *text = findHeader(request.headers, "Content-Length");
+    std::uint64_t length = 0;
+    return text != nullptr && std::from_chars(text->data(), text->data() + text->size(), length).ec == std::errc()
+        && length > limit;
+}
+
+MHD_Result appendHeader(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
+{
+    auto *headers = static_cast<HttpHeaders *>(target);
+    headers->push_back({name, value == nullptr ? "" : value});
+    return MHD_YES;
+}
+
+} // namespace
+
+/// The C callbacks that libmicrohttpd calls.
+struct HttpServerCallbacks
+{
+    static void *onUri(void *server, const char *uri, MHD_Connection *connection)
+    {
+        auto *self = static_cast<HttpServer *>(server);
+        const auto exchange = std::make_shared<HttpExchange>(*self, connection);
+        exchange->m_request.target = uri;
+        self->m_open.insert_or_assign(connection, exchange);
+        return exchange.get();
+    }
+
+    static MHD_Result onRequest(void * /*server*/, MHD_Connection *connection, const char * /*url*/, const char *method,
+                                const char * /*version*/, const char *data, std::size_t *size, void **context)
+    {
+        const auto exchange = static_cast<HttpExchange *>(*context)->shared_from_this();
+        HttpRequest &request = exchange->m_request;
+        if (request.method.empty()) {
+            request.method = method;
+            MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &request.headers);
+            checkHead(*exchange);
+            return MHD_YES;
+        }
+        if (*size > 0) {
+            takeBody(*exchange, std::string_view(data, *size));
+            *size = 0;
+            return exchange->m_droppedBytes > MaxDroppedBytes ? MHD_NO : MHD_YES;
+        }
+        if (!exchange->m_dispatched && exchange->m_refusal == ResultCode::Ok) {
+            exchange->m_dispatched = true;
+            exchange->suspend();
+            exchange->m_server.dispatch(exchange);
+        }
+        if (!exchange->m_dispatched) {
+            exchange->m_dispatched = true;
+            exchange->m_server.refuse(*exchange);
+        }
+        return MHD_YES;
+    }
+
+    /// Refuses what the headers already show to be wrong; the answer goes out before the body comes in.
+    static void checkHead(HttpExchange &exchange)
+    {
+        if (!exchange.m_request.target.starts_with("/")) {
+            exchange.m_refusal = ResultCode::BadRequest;
+        } else if (announcesMoreThan(exchange.m_request, exchange.m_server.m_limits.maxBodyBytes)) {
+            exchange.m_refusal = ResultCode::RequestTooLarge;
+        }
+        if (exchange.m_refusal != ResultCode::Ok) {
+            exchange.m_dispatched = true;
+            exchange.m_server.refuse(exchange);
+        }
+    }
+
+    static void takeBody(HttpExchange &exchange, std::string_view bytes)
+    {
+        if (exchange.m_request.body.size() + bytes.size() > exchange.m_server.m_limits.maxBodyBytes) {
+            exchange.m_refusal = ResultCode::RequestTooLarge;
+            exchange.m_droppedBytes += bytes.size();
+            return;
+        }
+        exchange.m_request.body.append(bytes);
+    }
+
+    /// libmicrohttpd answers malformed requests by itself and reports them only to its log.
+    static void onLog(void *server, const char *format, va_list /*arguments*/)
+    {
+        if (std::string_view(format).starts_with(RefusalMessage)) {
+            static_cast<HttpServer *>(server)->m_onRefusal(ResultCode::BadRequest);
+        }
+    }
+
+    /// A request that is refused by libmicrohttpd itself has no completion; its exchange ends with the connection.
+    static void onConnection(void *server, MHD_Connection *connection, void ** /*context*/,
+                             MHD_ConnectionNotificationCode code)
+    {
+        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
+            static_cast<HttpServer *>(server)->forgetConnection(connection);
+        }
+    }
+
+    static void onCompleted(void *server, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code)
+    {
+        if (*context == nullptr) {
+            return;
+        }
+        const auto exchange = static_cast<HttpExchange *>(*context)->shared_from_this();
+        *context = nullptr;
+        static_cast<HttpServer *>(server)->m_open.erase(connection);
+        exchange->onCompleted(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
+    }
+
+    static ssize_t readBody(void *context, std::uint64_t /*position*/, char *buffer, std::size_t most)
+    {
+        return static_cast<HttpExchange *>(context)->readBody(buffer, most);
+    }
+};
+
+HttpExchange::HttpExchange(HttpServer &server, MHD_Connection *connection)
+    : m_server(server)
+    , m_connection(connection)
+    , m_closeWatcher(server.m_loop, [this](int) { onReadableWhileSuspended(); })
+{
+}
+
+HttpExchange::~HttpExchange() = default;
+
+void HttpExchange::suspend()
+{
+    m_suspended = true;
+    MHD_suspend_connection(m_connection);
+    const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    if (info != nullptr) {
+        m_closeWatcher.start(info->connect_fd, EV_READ);
+    }
+}
+
+void HttpExchange::resume()
+{
+    if (!m_suspended || m_connection == nullptr) {
+        return;
+    }
+    m_suspended = false;
+    m_closeWatcher.stop();
+    MHD_resume_connection(m_connection);
+    m_server.scheduleRun();
+}
+
+void HttpExchange::onReadableWhileSuspended()
+{
+    const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    char byte = 0;
+    const ssize_t size = ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (size > 0) {
+        m_closeWatcher.stop();
+        return;
+    }
+    if (size < 0 && (errno == EAGAIN || errno == EINTR)) {
+        return;
+    }
+    m_closeWatcher.stop();
+    const auto self = shared_from_this();
+    if (m_onCancelled) {
+        const auto handler = std::exchange(m_onCancelled, nullptr);
+        handler();
+    }
+    abort();
+}
+
+void HttpExchange::respond(unsigned status, const HttpHeaders &headers, std::string body)
+{
+    if (m_connection == nullptr || m_responded) {
+        return;
+    }
+    MHD_Response *response = MHD_create_response_from_buffer(body.size(), body.data(), MHD_RESPMEM_MUST_COPY);
+    queueResponse(status, headers, response);
+}
+
+void HttpExchange::beginBody(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
+{
+    if (m_connection == nullptr || m_responded) {
+        return;
+    }
+    if (status < LeastFinalStatus || status > MostStatus) {
+        status = StatusBadGateway;
+    }
+    m_bodyState = BodyState::Open;
+    MHD_Response *response = MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), BodyBlockBytes,
+                                                               &HttpServerCallbacks::readBody, this, nullptr);
+    queueResponse(status, headers, response);
+}
+
+void HttpExchange::queueResponse(unsigned status, const HttpHeaders &headers, MHD_Response *response)
+{
+    for (const HttpHeader &header : headers) {
+        MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
+    }
+    m_responded = true;
+    const MHD_Result queued = MHD_queue_response(m_connection, status, response);
+    MHD_destroy_response(response);
+    if (queued != MHD_YES) {
+        abort();
+        return;
+    }
+    resume();
+}
+
+void HttpExchange::write(std::string_view bytes)
+{
+    if (m_connection == nullptr || m_bodyState != BodyState::Open) {
+        return;
+    }
+    m_body.append(bytes);
+    resume();
+}
+
+void HttpExchange::finish()
+{
+    if (m_bodyState == BodyState::Open) {
+        m_bodyState = BodyState::Finished;
+    }
+    resume();
+}
+
+void HttpExchange::abort()
+{
+    if (m_connection == nullptr) {
+        return;
+    }
+    if (!m_responded) {
+        beginBody(StatusBadGateway, {}, std::nullopt);
+    }
+    m_bodyState = BodyState::Aborted;
+    const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+    ::shutdown(info->connect_fd, SHUT_RDWR);
+    resume();
+}
+
+std::int64_t HttpExchange::readBody(char *buffer, std::size_t most)
+{
+    if (m_bodyState == BodyState::Aborted) {
+        return MHD_CONTENT_READER_END_WITH_ERROR;
+    }
+    const std::size_t size = std::min(most, m_body.size() - m_bodyOffset);
+    if (size == 0 && m_bodyState == BodyState::Finished) {
+        return MHD_CONTENT_READER_END_OF_STREAM;
+    }
+    if (size == 0) {
+        suspend();
+        return 0;
+    }
+    std::memcpy(buffer, m_body.data() + m_bodyOffset, size);
+    m_bodyOffset += size;
+    if (m_bodyOffset == m_body.size()) {
+        m_body.clear();
+        m_bodyOffset = 0;
+    }
+    if (m_onDrained) {
+        m_server.m_loop.post([self = shared_from_this(), size] {
+            if (self->m_onDrained) {
+                self->m_onDrained(size);
+            }
+        });
+    }
+    return static_cast<std::int64_t>(size);
+}
+
+void HttpExchange::onCompleted(bool whole)
+{
+    m_closeWatcher.stop();
+    m_connection = nullptr;
+    m_onDrained = nullptr;
+    if (!whole && m_onCancelled) {
+        const auto handler = std::exchange(m_onCancelled, nullptr);
+        handler();
+    }
+    m_onCancelled = nullptr;
+}
+
+HttpServer::HttpServer(Loop &loop, const SocketAddress &local, HttpServerLimits limits, Handler handler,
+                       RefusalHandler onRefusal)
+    : m_loop(loop)
+    , m_limits(limits)
+    , m_handler(std::move(handler))
+    , m_onRefusal(std::move(onRefusal))
+    , m_watcher(loop, [this](int) { run(); })
+    , m_timer(loop, [this] { run(); })
+{
+    const sockaddr_in system = toSystemAddress(local);
+    m_daemon = MHD_start_daemon(
+        MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME | MHD_USE_ERROR_LOG, local.port, nullptr, nullptr,
+        &HttpServerCallbacks::onRequest, this, MHD_OPTION_SOCK_ADDR, &system, MHD_OPTION_URI_LOG_CALLBACK,
+        &HttpServerCallbacks::onUri, this, MHD_OPTION_EXTERNAL_LOGGER, &HttpServerCallbacks::onLog, this,
+        MHD_OPTION_NOTIFY_CONNECTION, &HttpServerCallbacks::onConnection, this, MHD_OPTION_NOTIFY_COMPLETED,
+        &HttpServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections,
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
+        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+    if (m_daemon == nullptr) {
+        throw ResultError(ResultCode::BindFailed, "HTTP " + local.toString() + ": " + std::strerror(errno));
+    }
+    const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_EPOLL_FD);
+    m_watcher.start(info->epoll_fd, EV_READ);
+}
+
+HttpServer::~HttpServer()
+{
+    m_watcher.stop();
+    const auto open = m_open;
+    for (const auto &[connection, exchange] : open) {
+        exchange->m_onCancelled = nullptr;
+        exchange->abort();
+    }
+    MHD_run(m_daemon);
+    MHD_stop_daemon(m_daemon);
+}
+
+void HttpServer::stopAccepting()
+{
+    if (m_quiesced) {
+        return;
+    }
+    m_quiesced = true;
+    const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
+    if (listener != MHD_INVALID_SOCKET) {
+        ::close(listener);
+    }
+}
+
+void HttpServer::scheduleRun()
+{
+    if (m_runScheduled) {
+        return;
+    }
+    m_runScheduled = true;
+    m_loop.post([this] { run(); });
+}
+
+void HttpServer::run()
+{
+    m_runScheduled = false;
+    MHD_run(m_daemon);
+    MHD_UNSIGNED_LONG_LONG timeout = 0;
+    if (MHD_get_timeout(m_daemon, &timeout) == MHD_YES) {
+        m_timer.start(Milliseconds(timeout));
+    } else {
+        m_timer.stop();
+    }
+}
+
+void HttpServer::dispatch(const std::shared_ptr<HttpExchange> &exchange)
+{
+    m_loop.post([this, exchange] { m_handler(exchange); });
+}
+
+void HttpServer::refuse(HttpExchange &exchange)
+{
+    m_onRefusal(exchange.m_refusal);
+    const bool tooLarge = exchange.m_refusal == ResultCode::RequestTooLarge;
+    const HttpHeaders headers
+        = {{"Jasminemast-Outcome", "not-run"}, {"Jasminemast-Code", std::to_string(number(exchange.m_refusal))}};
+    exchange.respond(tooLarge ? StatusContentTooLarge : StatusBadRequest, headers,
+                     std::string(resultInfo(exchange.m_refusal).text) + "\n");
+}
+
+void HttpServer::forgetConnection(MHD_Connection *connection)
+{
+    const auto found = m_open.find(connection);
+    if (found == m_open.end()) {
+        return;
+    }
+    const auto exchange = found->second;
+    m_open.erase(found);
+    exchange->onCompleted(false);
+}
+
+} // namespace jasminemast
