--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -3,6 +3,7 @@
 
 #include "jasminemast/net/linkpool.h"
 #include "jasminemast/settings/jsonreader.h"
+#include "jasminemast/spread/settings.h"
 #include "jasminemast/support/ids.h"
 
 #include <cstdint>
@@ -45,6 +46,7 @@
     std::vector<HostRecord> seeds;
     LinkSettings links;
     CallSettings calls;
+    SpreadSettings control;
 };
 
 /// Parses and checks settings.
