--- a/include/jasminemast/command/command.h
+++ b/include/jasminemast/command/command.h
@@ -21,6 +21,9 @@
 
 std::span<const Command> allCommands();
 
+/// A script that makes bash complete sub-commands and flags.
+std::string bashCompletion();
+
 /// Runs the sub-command named on the command line and gives the exit status. Errors are printed, never thrown.
 int runCommandLine(int argc, char **argv);
 
@@ -29,6 +32,7 @@
 int runStatus(const std::vector<std::string> &arguments);
 int runLogbook(const std::vector<std::string> &arguments);
 int runSettingsCheck(const std::vector<std::string> &arguments);
+int runCompletion(const std::vector<std::string> &arguments);
 int runVersion(const std::vector<std::string> &arguments);
 
 } // namespace jasminemast
--- a/lib/command/command.cpp
+++ b/lib/command/command.cpp
@@ -4,6 +4,7 @@
 #include "jasminemast/support/result.h"
 
 #include <gflags/gflags.h>
+#include <nlohmann/json.hpp>
 
 #include <algorithm>
 #include <array>
@@ -24,12 +25,15 @@
 constexpr std::array Commands = {
     Command {"node", "run the node of this host", "--settings=FILE",
              "jasminemast node --settings=/etc/jasminemast/node.json", &runNode},
-    Command {"status", "show which ticket is in force", "--node=ADDRESS:PORT [--fleet] [--json]",
-             "jasminemast status --node=127.1.0.1:7001 --fleet", &runStatus},
+    Command {"status", "show which ticket is in force, or follow one until it is in force everywhere",
+             "--node=ADDRESS:PORT [--fleet] [--watch --ticket=NUMBER [--timeout=SECONDS]] [--json]",
+             "jasminemast status --node=127.1.0.1:7001 --watch --ticket=42 --timeout=30", &runStatus},
     Command {"logbook", "show every ticket with its verdict", "--node=ADDRESS:PORT [--json]",
              "jasminemast logbook --node=127.1.0.1:7001", &runLogbook},
     Command {"settings check", "check a settings file without starting anything", "--settings=FILE",
              "jasminemast settings check --settings=node.json", &runSettingsCheck},
+    Command {"completion", "print a completion script for bash", "bash", "source <(jasminemast completion bash)",
+             &runCompletion},
     Command {"version", "print the version", "", "jasminemast version", &runVersion},
 };
 
@@ -80,6 +84,9 @@
     } catch (const ResultError &error) {
         std::cerr << "jasminemast: " << number(error.code()) << ' ' << error.what() << '\n';
         return resultInfo(error.code()).exitStatus;
+    } catch (const nlohmann::json::exception &error) {
+        std::cerr << "jasminemast: " << number(ResultCode::NodeAnswerInvalid) << ' ' << error.what() << '\n';
+        return resultInfo(ResultCode::NodeAnswerInvalid).exitStatus;
     } catch (const std::exception &error) {
         std::cerr << "jasminemast: " << number(ResultCode::InternalError) << ' ' << error.what() << '\n';
         return resultInfo(ResultCode::InternalError).exitStatus;
--- a/lib/command/readback.cpp
+++ b/lib/command/readback.cpp
@@ -1,5 +1,6 @@
 // Sub-commands that read back what the fleet runs: status and logbook.
 #include "jasminemast/command/command.h"
+#include "jasminemast/command/fleetstatus.h"
 #include "jasminemast/command/operatorclient.h"
 #include "jasminemast/support/result.h"
 
@@ -8,9 +9,13 @@
 #include <ctime>
 #include <iomanip>
 #include <iostream>
+#include <thread>
 
 DEFINE_string(node, "", "operator address of a node, ADDRESS:PORT");
 DEFINE_bool(fleet, false, "show the whole fleet as this node knows it");
+DEFINE_bool(watch, false, "follow a ticket until it is in force everywhere");
+DEFINE_uint64(ticket, 0, "number of the ticket to follow");
+DEFINE_uint32(timeout, 60, "seconds to follow a ticket before giving up");
 DEFINE_bool(json, false, "print JSON");
 
 namespace jasminemast
@@ -20,6 +25,8 @@
 {
 
 constexpr int DigestWidth = 10;
+constexpr Milliseconds WatchInterval {500};
+constexpr const char *FleetPath = "/v1/status?scope=fleet";
 
 std::string requireNode()
 {
@@ -66,15 +73,81 @@
               << (status.at("ready").get<bool>() ? ", ready\n" : ", not ready\n");
 }
 
+/// The fleet as the node knows it; nothing while the node does not answer.
+std::optional<nlohmann::json> tryFetchFleet(const std::string &node)
+{
+    try {
+        return fetchFromNode(node, FleetPath);
+    } catch (const ResultError &error) {
+        if (error.code() != ResultCode::NodeUnreachable) {
+            throw;
+        }
+        std::cerr << error.what() << '\n';
+        return std::nullopt;
+    }
+}
+
+/// A ticket that was refused is in force nowhere, although its number is used up.
+/// \throws ResultError with the ticket's code when it was refused.
+void requireAccepted(const std::string &node, std::uint64_t ticket)
+{
+    for (const auto &entry : fetchFromNode(node, "/v1/tickets")) {
+        if (entry.at("number") != ticket || entry.at("code") == 0) {
+            continue;
+        }
+        const auto code = resultFromNumber(entry.at("code").get<int>()).value_or(ResultCode::NodeAnswerInvalid);
+        throw ResultError(
+            code, "ticket " + std::to_string(ticket) + " was refused: " + entry.at("detail").get<std::string>());
+    }
+}
+
+int watchTicket(const std::string &node)
+{
+    if (FLAGS_ticket == 0) {
+        throw ResultError(ResultCode::UsageError, "--watch needs --ticket=NUMBER");
+    }
+    const TicketNumber ticket(FLAGS_ticket);
+    const SystemClock clock;
+    const TimePoint end = clock.now() + std::chrono::seconds(FLAGS_timeout);
+    std::string lastProgress = "the node did not answer";
+    while (true) {
+        if (const auto answer = tryFetchFleet(node)) {
+            const FleetStatus fleet = parseFleetStatus(*answer);
+            const std::string progress = formatProgress(fleet, ticket);
+            if (progress != lastProgress) {
+                std::cerr << progress << std::endl;
+            }
+            lastProgress = progress;
+            if (fleet.isInForceEverywhere(ticket)) {
+                requireAccepted(node, FLAGS_ticket);
+                std::cout << (FLAGS_json ? answer->dump(2) + "\n" : formatFleet(fleet));
+                return 0;
+            }
+        }
+        if (clock.now() + WatchInterval > end) {
+            throw ResultError(ResultCode::FleetNotReached, lastProgress);
+        }
+        std::this_thread::sleep_for(WatchInterval);
+    }
+}
+
 } // namespace
 
 int runStatus(const std::vector<std::string> & /*arguments*/)
 {
-    const auto status = fetchFromNode(requireNode(), FLAGS_fleet ? "/v1/status?scope=fleet" : "/v1/status");
+    const std::string node = requireNode();
+    if (FLAGS_watch) {
+        return watchTicket(node);
+    }
+    const auto status = fetchFromNode(node, FLAGS_fleet ? FleetPath : "/v1/status");
     if (FLAGS_json) {
         std::cout << status.dump(2) << '\n';
         return 0;
     }
+    if (FLAGS_fleet) {
+        std::cout << formatFleet(parseFleetStatus(status));
+        return 0;
+    }
     printNode(status);
     return 0;
 }
