--- a/include/jasminemast/spread/pullduty.h
+++ b/include/jasminemast/spread/pullduty.h
@@ -39,7 +39,7 @@
     void failed(std::uint64_t id, TimePoint now);
     void ticketFetched(TicketNumber number, TimePoint now);
     void ticketFetchFailed(TicketNumber number, TimePoint now);
-    void checkpointFailed(TimePoint now);
+    void checkpointEnded();
     void resumeAfterPause();
 
     /// True once when another random peer should be asked for what it knows.
--- a/include/jasminemast/spread/spreadevents.h
+++ b/include/jasminemast/spread/spreadevents.h
@@ -1,6 +1,7 @@
 // What the core of spreading is told, and what it wants done.
 #pragma once
 
+#include "jasminemast/config/snapshot.h"
 #include "jasminemast/member/hostlist.h"
 #include "jasminemast/spread/messages.h"
 
@@ -59,7 +60,7 @@
 
 struct CheckpointFetched
 {
-    std::string snapshot;
+    Snapshot snapshot;
 };
 
 struct CheckpointFetchFailed
--- a/include/jasminemast/spread/ticketstore.h
+++ b/include/jasminemast/spread/ticketstore.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "jasminemast/config/log.h"
+#include "jasminemast/config/snapshot.h"
 #include "jasminemast/support/clock.h"
 
 #include <optional>
@@ -36,6 +37,7 @@
     [[nodiscard]] std::string snapshot() const;
     /// Applies a snapshot that is newer than state(); false when it is not, or malformed.
     bool offerSnapshot(std::string_view bytes);
+    bool adopt(const Snapshot &snapshot);
     /// Verdicts that were reached since the last call.
     std::vector<LogEntry> takeEntries();
 
--- a/include/jasminemast/spread/topology.h
+++ b/include/jasminemast/spread/topology.h
@@ -34,7 +34,8 @@
 public:
     Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const ZoneTable &zoneTable);
 
-    void setHostList(HostList list);
+    /// Takes the platform's list. Hosts of the own zone that it lacks stay while they answer.
+    void setHostList(const HostList &list);
     void setSelfLeaving();
     /// Remembers whether the process on \p host says that it drains.
     void noteLeaving(const HostId &host, bool leaving);
@@ -76,6 +77,8 @@
     [[nodiscard]] std::vector<ZoneId> otherZones(bool ownRegionOnly) const;
 
 private:
+    [[nodiscard]] HostList withAnsweringPeers(const HostList &list) const;
+
     SelfInfo m_self;
     const SpreadSettings &m_settings;
     const Membership &m_membership;
--- a/lib/spread/messages.cpp
+++ b/lib/spread/messages.cpp
@@ -4,7 +4,6 @@
 #include "jasminemast/support/result.h"
 #include "wire.h"
 
-#include <sstream>
 #include <zstd.h>
 
 namespace jasminemast
@@ -164,23 +163,20 @@
 template<class Message>
 std::string encode(const Message &message)
 {
-    std::ostringstream stream;
-    {
-        cereal::PortableBinaryOutputArchive archive(stream);
-        archive(ProtocolVersion);
-        Message copy = message;
-        carry(archive, copy);
-    }
-    return std::move(stream).str();
+    std::string bytes;
+    EncodeArchive archive(bytes);
+    archive(ProtocolVersion);
+    Message copy = message;
+    carry(archive, copy);
+    return bytes;
 }
 
 template<class Message>
 Message decode(std::string_view bytes, ResultCode code)
 {
-    // cereal reports a short read by exception; the bounded fields report a hostile length the same way.
+    // The archive reports a short read by exception; the bounded fields report a hostile length the same way.
     try {
-        std::istringstream stream {std::string(bytes)};
-        cereal::PortableBinaryInputArchive archive(stream);
+        DecodeArchive archive(bytes);
         std::uint8_t version = 0;
         archive(version);
         if (version != ProtocolVersion) {
@@ -188,7 +184,7 @@
         }
         Message message;
         carry(archive, message);
-        if (stream.peek() != std::istringstream::traits_type::eof()) {
+        if (archive.remaining() != 0) {
             throw ResultError(code, "bytes after the end of the message");
         }
         return message;
--- a/lib/spread/pullduty.cpp
+++ b/lib/spread/pullduty.cpp
@@ -307,7 +307,7 @@
     fetch.deadline = now + FetchRetryBase + Milliseconds(jitter);
 }
 
-void PullDuty::checkpointFailed(TimePoint)
+void PullDuty::checkpointEnded()
 {
     m_checkpointDeadline.reset();
 }
--- a/lib/spread/pullserver.cpp
+++ b/lib/spread/pullserver.cpp
@@ -9,7 +9,7 @@
 namespace
 {
 
-constexpr std::size_t MaxTailBytes = 4UL << 20U; ///< a longer tail is sent as a snapshot
+constexpr std::size_t MaxTailBytes = 1'500'000; ///< a longer tail is sent as a snapshot
 constexpr std::uint64_t MaxTailTickets = 256;
 
 } // namespace
--- a/lib/spread/spreadcore.cpp
+++ b/lib/spread/spreadcore.cpp
@@ -124,7 +124,7 @@
 void SpreadCore::on(const HostListReceived &event, TimePoint)
 {
     m_topology.setHostList(event.list);
-    const auto zoneHosts = event.list.inZone(m_self.zone);
+    const auto zoneHosts = m_topology.hostList().inZone(m_self.zone);
     m_membership.updateListed(zoneHosts);
     m_reports.retain({zoneHosts.begin(), zoneHosts.end()});
     m_pull.retainListed();
@@ -239,15 +239,17 @@
     append(m_server.fetchEnded(event.number, std::nullopt, sender(now)));
 }
 
-void SpreadCore::on(const CheckpointFetched &event, TimePoint now)
+void SpreadCore::on(const CheckpointFetched &event, TimePoint)
 {
-    m_store.offerSnapshot(event.snapshot);
-    m_pull.checkpointFailed(now);
+    if (event.snapshot.state->number <= m_store.head().number) {
+        m_store.adopt(event.snapshot);
+    }
+    m_pull.checkpointEnded();
 }
 
-void SpreadCore::on(const CheckpointFetchFailed &, TimePoint now)
+void SpreadCore::on(const CheckpointFetchFailed &, TimePoint)
 {
-    m_pull.checkpointFailed(now);
+    m_pull.checkpointEnded();
 }
 
 void SpreadCore::on(const PullRequested &event, TimePoint now)
--- a/lib/spread/ticketstoresnapshot.cpp
+++ b/lib/spread/ticketstoresnapshot.cpp
@@ -1,17 +1,30 @@
 // Snapshots of the ticket log.
 #include "jasminemast/spread/ticketstore.h"
 
+#include "jasminemast/support/result.h"
+
 namespace jasminemast
 {
 
 std::string TicketStore::snapshot() const
 {
-    return {};
+    const auto &entries = m_log.logbook().entries();
+    return encodeSnapshot(*m_log.state(), {entries.begin(), entries.end()});
+}
+
+bool TicketStore::offerSnapshot(std::string_view bytes)
+{
+    try {
+        return adopt(decodeSnapshot(bytes));
+    } catch (const ResultError &) {
+        return false;
+    }
 }
 
-bool TicketStore::offerSnapshot(std::string_view)
+bool TicketStore::adopt(const Snapshot &snapshot)
 {
-    return false;
+    const auto offer = m_log.offerSnapshot(snapshot.state, snapshot.history, m_clock.wallNow(), &m_entries);
+    return offer == SnapshotOffer::Adopted;
 }
 
 } // namespace jasminemast
--- a/lib/spread/topology.cpp
+++ b/lib/spread/topology.cpp
@@ -17,15 +17,32 @@
 {
 }
 
-void Topology::setHostList(HostList list)
+void Topology::setHostList(const HostList &list)
 {
-    m_list = std::move(list);
+    m_list = withAnsweringPeers(list);
     m_zoneRegions.clear();
     for (const auto &[host, entry] : m_list.entries()) {
         m_zoneRegions.emplace(entry.zone, entry.region);
     }
 }
 
+/// Adds the hosts of the own zone that answer although \p list lacks them: liveness outweighs the lagging list.
+HostList Topology::withAnsweringPeers(const HostList &list) const
+{
+    std::vector<HostEntry> entries;
+    for (const auto &[host, entry] : list.entries()) {
+        entries.push_back(entry);
+    }
+    for (const auto &[host, entry] : m_list.entries()) {
+        const bool heard = m_membership.incarnation(host).value_or(Incarnation()) != Incarnation();
+        const bool answers = heard && m_membership.liveness(host) == Liveness::Alive;
+        if (answers && list.find(host) == nullptr && entry.zone == m_self.zone) {
+            entries.push_back(entry);
+        }
+    }
+    return HostList(entries);
+}
+
 void Topology::setSelfLeaving()
 {
     m_selfLeaving = true;
--- a/lib/spread/wire.h
+++ b/lib/spread/wire.h
@@ -1,11 +1,10 @@
 // Bounded cereal fields: no length that a peer claims is believed before it has been checked.
 #pragma once
 
+#include "jasminemast/support/archive.h"
 #include "jasminemast/support/ids.h"
 
 #include <algorithm>
-#include <cereal/archives/portable_binary.hpp>
-#include <cereal/cereal.hpp>
 #include <stdexcept>
 #include <string>
 #include <vector>
--- a/unittests/spread/messagestest.cpp
+++ b/unittests/spread/messagestest.cpp
@@ -101,7 +101,7 @@
 TEST(Messages, anotherProtocolVersionIsRefused)
 {
     auto bytes = encodeControlMessage(someMessage(Announce {}));
-    bytes[1] = 99;
+    bytes[0] = 99;
     expectRefused(ResultCode::DatagramMalformed, [&] { decodeControlMessage(bytes); });
 }
 
