--- /dev/null
+++ b/utils/harness/topology.h
@@ -0,0 +1,98 @@
+// The regions, zones and hosts of one trial fleet, and the settings file of each node.
+#pragma once
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <vector>
+
+namespace jasminemast::harness
+{
+
+struct ZonePlan
+{
+    std::string name;
+    std::string region;
+    unsigned number = 1; ///< second octet of the addresses, 1 to 15
+};
+
+struct HostPlan
+{
+    std::string name;
+    std::string address;
+    std::size_t zone = 0; ///< position in Topology::zones
+};
+
+/// The ports of one trial. Trials that run at the same time need different bases.
+struct PortPlan
+{
+    std::uint16_t base = 7000;
+
+    [[nodiscard]] std::uint16_t caller() const
+    {
+        return base;
+    }
+    [[nodiscard]] std::uint16_t operators() const
+    {
+        return base + 1;
+    }
+    [[nodiscard]] std::uint16_t link() const
+    {
+        return base + 2;
+    }
+    [[nodiscard]] std::uint16_t target() const
+    {
+        return base + 3;
+    }
+    [[nodiscard]] std::uint16_t configSource() const
+    {
+        return base + 4;
+    }
+    [[nodiscard]] std::uint16_t hostList() const
+    {
+        return base + 5;
+    }
+    [[nodiscard]] std::uint16_t zoneLinkAdmin() const
+    {
+        return base + 6;
+    }
+    /// Where the zone with \p number finds its own view of the host list.
+    [[nodiscard]] std::uint16_t hostListView(unsigned number) const
+    {
+        return base + 10 + number;
+    }
+};
+
+struct Topology
+{
+    static constexpr const char *PlatformAddress = "127.0.0.10";
+
+    std::vector<ZonePlan> zones;
+    std::vector<HostPlan> hosts;
+    std::string storeRegion; ///< region in which the configuration service stands
+    PortPlan ports;
+    bool throughZoneLink = false; ///< other zones and the platform are dialled through the zone link
+    nlohmann::json extraSettings = nlohmann::json::object(); ///< merged into every settings file
+
+    /// Regions of \p zonesPerRegion zones of \p hostsPerZone hosts, named after the users' regions.
+    static Topology make(unsigned regions, unsigned zonesPerRegion, unsigned hostsPerZone, std::uint16_t portBase);
+
+    [[nodiscard]] const ZonePlan &zoneOf(const HostPlan &host) const
+    {
+        return zones[host.zone];
+    }
+    [[nodiscard]] nlohmann::json hostListJson() const;
+    [[nodiscard]] nlohmann::json viewsJson() const;
+    [[nodiscard]] nlohmann::json settingsJson(const HostPlan &host) const;
+    [[nodiscard]] std::string configSourceUrl() const;
+    [[nodiscard]] std::string hostListUrl() const;
+    [[nodiscard]] std::string callerUrl(const HostPlan &host) const;
+    [[nodiscard]] std::string operatorUrl(const HostPlan &host) const;
+    [[nodiscard]] std::string targetUrl(const HostPlan &host) const;
+
+private:
+    [[nodiscard]] std::string platformAddressFor(const ZonePlan &zone) const;
+    [[nodiscard]] std::string dialledAddress(const HostPlan &host, const ZonePlan &viewer) const;
+};
+
+} // namespace jasminemast::harness
