[config] share unchanged maps between states, digest objects once, index routes by prefix

Cause: perf on configbench showed string compares, tree copies and allocation; a ticket copied all maps twice and wrote every object out to digest it, and findRoute looked at every route. Now a state shares its maps with the one before until a ticket touches them, each object keeps its digest, and the state digest is made from those; an index finds a route by binary search over prefixes, with ties settled as docs/design/tickets.md says (a property compares it with the plain rule).

--- a/include/jasminemast/config/state.h
+++ b/include/jasminemast/config/state.h
@@ -1,6 +1,8 @@
 // The configuration that tickets build up: routes, services and endpoints, as an immutable snapshot.
 #pragma once
 
+#include "jasminemast/config/routeindex.h"
+#include "jasminemast/config/sharedmap.h"
 #include "jasminemast/support/clock.h"
 #include "jasminemast/support/digest.h"
 #include "jasminemast/support/ids.h"
@@ -24,6 +26,7 @@
     ServiceId service;
     std::optional<bool> repeatable; ///< unset: GET and HEAD are idempotent, all else is not
     Milliseconds timeout {0}; ///< upper bound of a call's deadline
+    Digest digest {}; ///< of the fields above, as objectDigest() gives it; part of a state's digest
 
     bool operator==(const Route &) const = default;
 
@@ -36,6 +39,7 @@
 {
     ServiceId id;
     std::vector<EndpointId> endpoints; ///< may be empty: calls are then refused
+    Digest digest {}; ///< as in Route
 
     bool operator==(const Service &) const = default;
 };
@@ -48,6 +52,7 @@
     std::uint16_t port = 0;
     unsigned slots = 0; ///< requests that the target runs at once
     bool draining = false; ///< true: takes no new calls
+    Digest digest {}; ///< as in Route
 
     bool operator==(const Endpoint &) const = default;
 };
@@ -58,9 +63,9 @@
 /// a published State never changes.
 struct State
 {
-    using RouteMap = std::map<RouteId, std::shared_ptr<const Route>>;
-    using ServiceMap = std::map<ServiceId, std::shared_ptr<const Service>>;
-    using EndpointMap = std::map<EndpointId, std::shared_ptr<const Endpoint>>;
+    using RouteMap = SharedMap<std::map<RouteId, std::shared_ptr<const Route>>>;
+    using ServiceMap = SharedMap<std::map<ServiceId, std::shared_ptr<const Service>>>;
+    using EndpointMap = SharedMap<std::map<EndpointId, std::shared_ptr<const Endpoint>>>;
 
     TicketNumber number; ///< last ticket folded in, also when that ticket was refused
     Digest ticketDigest; ///< SHA-256 of that ticket's bytes
@@ -68,6 +73,7 @@
     RouteMap routes;
     ServiceMap services;
     EndpointMap endpoints;
+    std::shared_ptr<const RouteIndex> routeIndex; ///< of routes; null while a state is being built
 
     /// The route with the longest matching prefix whose methods admit \p method; null when none does.
     [[nodiscard]] const Route *findRoute(std::string_view method, std::string_view path) const;
@@ -78,7 +84,12 @@
 /// The state before the first ticket.
 StatePtr emptyState();
 
-/// The digest over all objects of \p state.
+/// The digest over all fields of an object but its own digest.
+Digest objectDigest(const Route &route);
+Digest objectDigest(const Service &service);
+Digest objectDigest(const Endpoint &endpoint);
+
+/// The digest over all objects of \p state, made from their digests.
 Digest computeStateDigest(const State &state);
 
 /// Checks that every route's service and every service's endpoints exist.
--- /dev/null
+++ b/lib/config/routeindex.cpp
@@ -0,0 +1,79 @@
+// Longest-prefix search over sorted prefixes.
+#include "jasminemast/config/routeindex.h"
+
+#include "jasminemast/config/state.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+bool admitsMethod(const Route &route, std::string_view method)
+{
+    return route.methods.empty()
+        || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+}
+
+bool goesBefore(const std::shared_ptr<const Route> &left, const std::shared_ptr<const Route> &right)
+{
+    if (left->pathPrefix != right->pathPrefix) {
+        return left->pathPrefix < right->pathPrefix;
+    }
+    if (left->methods.empty() != right->methods.empty()) {
+        return right->methods.empty();
+    }
+    return left->id < right->id;
+}
+
+} // namespace
+
+RouteIndex::RouteIndex(const State &state)
+{
+    std::vector<std::shared_ptr<const Route>> routes;
+    routes.reserve(state.routes.size());
+    for (const auto &[id, route] : state.routes) {
+        routes.push_back(route);
+    }
+    std::sort(routes.begin(), routes.end(), goesBefore);
+    for (std::shared_ptr<const Route> &route : routes) {
+        if (m_entries.empty() || m_entries.back().prefix != route->pathPrefix) {
+            addEntry(route->pathPrefix);
+        }
+        m_entries.back().routes.push_back(std::move(route));
+    }
+}
+
+void RouteIndex::addEntry(std::string_view prefix)
+{
+    // Every shorter prefix of this one is the entry before or among that entry's parents.
+    std::size_t parent = m_entries.empty() ? NoEntry : m_entries.size() - 1;
+    while (parent != NoEntry && !prefix.starts_with(m_entries[parent].prefix)) {
+        parent = m_entries[parent].parent;
+    }
+    m_entries.push_back({prefix, {}, parent});
+}
+
+const Route *RouteIndex::find(std::string_view method, std::string_view path) const
+{
+    const auto above
+        = std::upper_bound(m_entries.begin(), m_entries.end(), path,
+                           [](std::string_view wanted, const Entry &entry) { return wanted < entry.prefix; });
+    auto candidate = above == m_entries.begin() ? NoEntry : static_cast<std::size_t>(above - m_entries.begin()) - 1;
+    for (; candidate != NoEntry; candidate = m_entries[candidate].parent) {
+        const Entry &entry = m_entries[candidate];
+        if (!path.starts_with(entry.prefix)) {
+            continue;
+        }
+        for (const std::shared_ptr<const Route> &route : entry.routes) {
+            if (admitsMethod(*route, method)) {
+                return route.get();
+            }
+        }
+    }
+    return nullptr;
+}
+
+} // namespace jasminemast
--- a/lib/config/snapshot.cpp
+++ b/lib/config/snapshot.cpp
@@ -98,14 +98,16 @@
 {
     using Object = std::remove_const_t<typename Map::mapped_type::element_type>;
     const std::uint32_t count = readCount(archive, TicketLimits::MaxObjects);
+    auto &edited = objects.edit();
     for (std::uint32_t i = 0; i < count; ++i) {
         auto object = std::make_shared<Object>();
         carry(archive, *object);
         const auto id = object->id;
-        if (!objects.empty() && id <= objects.rbegin()->first) {
+        if (!edited.empty() && id <= edited.rbegin()->first) {
             failMalformed("objects out of order at " + id.value());
         }
-        objects.emplace_hint(objects.end(), id, std::move(object));
+        object->digest = objectDigest(*object);
+        edited.emplace_hint(edited.end(), id, std::move(object));
     }
 }
 
@@ -160,6 +162,7 @@
         throw ResultError(ResultCode::SnapshotWrongDigest, "expected " + state.stateDigest.hex());
     }
     checkReferences(state);
+    state.routeIndex = std::make_shared<const RouteIndex>(state);
     snapshot.state = std::make_shared<const State>(std::move(state));
     return snapshot;
 }
--- a/lib/config/state.cpp
+++ b/lib/config/state.cpp
@@ -3,8 +3,6 @@
 
 #include "jasminemast/support/result.h"
 
-#include <algorithm>
-
 namespace jasminemast
 {
 
@@ -53,10 +51,15 @@
     out.push_back(endpoint.draining ? '1' : '0');
 }
 
-bool admitsMethod(const Route &route, std::string_view method)
+template<class Map>
+void appendDigests(std::string &out, char kind, const Map &objects)
 {
-    return route.methods.empty()
-        || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
+    out.push_back(kind);
+    out += std::to_string(objects.size());
+    for (const auto &[id, object] : objects) {
+        const auto &bytes = object->digest.bytes;
+        out.append(bytes.begin(), bytes.end());
+    }
 }
 
 } // namespace
@@ -68,40 +71,51 @@
 
 const Route *State::findRoute(std::string_view method, std::string_view path) const
 {
-    const Route *best = nullptr;
-    for (const auto &[id, route] : routes) {
-        if (!path.starts_with(route->pathPrefix) || !admitsMethod(*route, method)) {
-            continue;
-        }
-        if (best == nullptr || route->pathPrefix.size() > best->pathPrefix.size()) {
-            best = route.get();
-        }
+    if (!routeIndex) {
+        return RouteIndex(*this).find(method, path);
     }
-    return best;
+    return routeIndex->find(method, path);
 }
 
 StatePtr emptyState()
 {
     State state;
     state.stateDigest = computeStateDigest(state);
+    state.routeIndex = std::make_shared<const RouteIndex>(state);
     return std::make_shared<const State>(std::move(state));
 }
 
-Digest computeStateDigest(const State &state)
+Digest objectDigest(const Route &route)
 {
     std::string text;
-    for (const auto &[id, route] : state.routes) {
-        appendRoute(text, *route);
-    }
-    for (const auto &[id, service] : state.services) {
-        appendService(text, *service);
-    }
-    for (const auto &[id, endpoint] : state.endpoints) {
-        appendEndpoint(text, *endpoint);
-    }
+    appendRoute(text, route);
+    return sha256(text);
+}
+
+Digest objectDigest(const Service &service)
+{
+    std::string text;
+    appendService(text, service);
+    return sha256(text);
+}
+
+Digest objectDigest(const Endpoint &endpoint)
+{
+    std::string text;
+    appendEndpoint(text, endpoint);
     return sha256(text);
 }
 
+Digest computeStateDigest(const State &state)
+{
+    std::string digests;
+    digests.reserve((state.routes.size() + state.services.size() + state.endpoints.size() + 1) * Digest::Bytes);
+    appendDigests(digests, 'R', state.routes);
+    appendDigests(digests, 'S', state.services);
+    appendDigests(digests, 'E', state.endpoints);
+    return sha256(digests);
+}
+
 void checkReferences(const State &state)
 {
     for (const auto &[id, route] : state.routes) {
--- a/lib/config/ticket.cpp
+++ b/lib/config/ticket.cpp
@@ -15,13 +15,19 @@
 template<class Map, class Section>
 void foldSection(Map &objects, const Section &section)
 {
+    if (section.empty()) {
+        return;
+    }
+    auto &edited = objects.edit();
     for (const auto &[id, object] : section) {
         if (!object) {
-            objects.erase(id);
+            edited.erase(id);
             continue;
         }
-        using Object = typename Map::mapped_type::element_type;
-        objects[id] = std::make_shared<Object>(*object);
+        using Object = std::remove_const_t<typename Map::mapped_type::element_type>;
+        auto sealed = std::make_shared<Object>(*object);
+        sealed->digest = objectDigest(*sealed);
+        edited.insert_or_assign(id, std::move(sealed));
     }
 }
 
@@ -36,6 +42,9 @@
     }
     checkReferences(after);
     after.stateDigest = computeStateDigest(after);
+    if (!ticket.routes.empty()) {
+        after.routeIndex = std::make_shared<const RouteIndex>(after);
+    }
     return after;
 }
 
--- a/unittests/config/difftest.cpp
+++ b/unittests/config/difftest.cpp
@@ -44,6 +44,7 @@
     const std::vector<Case> cases = {
         {"", {}},
         {R"(,"routes":{"q":{"pathPrefix":"/a/","service":"s","methods":["POST"]}})", {}},
+        {R"(,"routes":{"z":{"pathPrefix":"/a/","service":"s","methods":["POST"]}})", {}},
         {R"(,"routes":{"q":{"pathPrefix":"/a/","service":"s"}})",
          {"route r is never chosen: another route has its prefix and methods"}},
         {R"(,"routes":{"q":{"pathPrefix":"/b","service":"s","methods":["GET","PUT"]},
--- a/unittests/config/snapshottest.cpp
+++ b/unittests/config/snapshottest.cpp
@@ -176,7 +176,7 @@
 TEST(SnapshotTest, statesThatBreakAReferenceAreRefused)
 {
     State state = *fullChain().fold(3);
-    state.endpoints.erase(EndpointId("f"));
+    state.endpoints.edit().erase(EndpointId("f"));
     state.stateDigest = computeStateDigest(state);
     EXPECT_EQ(codeOf([&state] { decodeSnapshot(encodeSnapshot(state, {})); }), ResultCode::SnapshotMalformed);
 }
--- a/unittests/config/statetest.cpp
+++ b/unittests/config/statetest.cpp
@@ -1,18 +1,17 @@
 // The fold of tickets: a good one is applied whole, a bad one changes nothing but the number.
 #include "jasminemast/config/ticket.h"
+#include "ticketchain.h"
 
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+#include <algorithm>
 
 using namespace jasminemast;
 
 namespace
 {
 
-std::string ticketText(std::uint64_t number, const Digest &previous, const std::string &sections)
-{
-    return R"({"number":)" + std::to_string(number) + R"(,"previous":")" + previous.hex() + "\"" + sections + "}";
-}
-
 const char *const OneService = R"(,"routes":{"r":{"pathPrefix":"/a/","service":"s"}},
     "services":{"s":{"endpoints":["e"]}},"endpoints":{"e":{"host":"h1","port":9000,"slots":12}})";
 
@@ -37,3 +36,74 @@
     EXPECT_EQ(verdict.state->stateDigest, before->stateDigest);
     EXPECT_TRUE(verdict.state->routes.empty());
 }
+
+TEST(StateTest, refusedTicketSharesTheObjectsOfTheStateBefore)
+{
+    const Verdict first = applyTicket(emptyState(), TicketNumber(1), ticketText(1, Digest {}, OneService));
+    const Verdict second = applyTicket(first.state, TicketNumber(2), "no ticket");
+    EXPECT_EQ(second.state->routes.at(RouteId("r")), first.state->routes.at(RouteId("r")));
+    EXPECT_EQ(second.state->routeIndex, first.state->routeIndex);
+}
+
+TEST(StateTest, laterTicketsLeaveTheStatesBeforeAlone)
+{
+    const Verdict first = applyTicket(emptyState(), TicketNumber(1), ticketText(1, Digest {}, OneService));
+    const Digest digest = first.state->stateDigest;
+    const std::string bytes = ticketText(2, first.state->ticketDigest, R"(,"routes":{"r":null},"services":{"s":null})");
+    const Verdict second = applyTicket(first.state, TicketNumber(2), bytes);
+    ASSERT_EQ(second.code, ResultCode::Ok) << second.detail;
+    EXPECT_EQ(second.state->findRoute("GET", "/a/b"), nullptr);
+    EXPECT_NE(first.state->findRoute("GET", "/a/b"), nullptr);
+    EXPECT_EQ(computeStateDigest(*first.state), digest);
+}
+
+namespace
+{
+
+/// The rule of choice, said plainly: longest prefix, then named methods, then smaller id.
+const Route *findPlainly(const State &state, std::string_view method, std::string_view path)
+{
+    const Route *best = nullptr;
+    for (const auto &[id, route] : state.routes) {
+        const auto &methods = route->methods;
+        const bool admits = methods.empty() || std::find(methods.begin(), methods.end(), method) != methods.end();
+        if (!path.starts_with(route->pathPrefix) || !admits) {
+            continue;
+        }
+        const bool isLonger = best == nullptr || route->pathPrefix.size() > best->pathPrefix.size();
+        const bool isSame = best != nullptr && route->pathPrefix == best->pathPrefix;
+        if (isLonger || (isSame && best->methods.empty() && !methods.empty())) {
+            best = route.get();
+        }
+    }
+    return best;
+}
+
+std::string anyPath()
+{
+    std::string path = "/";
+    for (const int part : *rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 4))) {
+        path += part == 3 ? '/' : static_cast<char>('a' + part);
+    }
+    return path;
+}
+
+} // namespace
+
+RC_GTEST_PROP(StateProperty, indexChoosesAsThePlainRuleDoes, ())
+{
+    std::string routes = R"(,"services":{"s":{"endpoints":[]}},"routes":{)";
+    const int count = *rc::gen::inRange(1, 12);
+    for (int i = 0; i < count; ++i) {
+        const char *methods = *rc::gen::element("", R"(,"methods":["GET"])", R"(,"methods":["PUT","GET"])");
+        routes += (i == 0 ? "\"r" : ",\"r") + std::to_string(i) + R"(":{"service":"s","pathPrefix":")" + anyPath()
+            + "\"" + methods + "}";
+    }
+    const Verdict verdict = applyTicket(emptyState(), TicketNumber(1), ticketText(1, Digest {}, routes + "}"));
+    RC_ASSERT(verdict.code == ResultCode::Ok);
+    for (int i = 0; i < 10; ++i) {
+        const std::string path = anyPath();
+        const std::string method = *rc::gen::element(std::string("GET"), std::string("PUT"), std::string("POST"));
+        RC_ASSERT(verdict.state->findRoute(method, path) == findPlainly(*verdict.state, method, path));
+    }
+}
