--- a/lib/support/digest.cpp
+++ b/lib/support/digest.cpp
@@ -3,6 +3,7 @@
 
 #include <openssl/evp.h>
 
+#include <memory>
 #include <stdexcept>
 
 namespace jasminemast
@@ -13,6 +14,8 @@
 
 constexpr std::size_t ShortHexDigits = 8;
 
+using ContextPtr = std::unique_ptr<EVP_MD_CTX, decltype(&EVP_MD_CTX_free)>;
+
 std::optional<std::uint8_t> hexValue(char digit)
 {
     if (digit >= '0' && digit <= '9') {
@@ -62,8 +65,14 @@
 
 Digest sha256(std::string_view data)
 {
+    // Looking the algorithm up and making a context cost more than digesting a small object, so both are kept.
+    static const EVP_MD *const Algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    thread_local const ContextPtr context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     Digest digest;
-    if (EVP_Digest(data.data(), data.size(), digest.bytes.data(), nullptr, EVP_sha256(), nullptr) != 1) {
+    const bool isDone = EVP_DigestInit_ex2(context.get(), Algorithm, nullptr) == 1
+        && EVP_DigestUpdate(context.get(), data.data(), data.size()) == 1
+        && EVP_DigestFinal_ex(context.get(), digest.bytes.data(), nullptr) == 1;
+    if (!isDone) {
         throw std::runtime_error("cannot compute a SHA-256 digest");
     }
     return digest;
