--- /dev/null
+++ b/unittests/node/fleet.cpp
@@ -0,0 +1,356 @@
+// Processes, fakes and the judge.
+#include "fleet.h"
+
+#include "jasminemast/config/ticket.h"
+
+#include <nlohmann/json.hpp>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <fstream>
+
+namespace jasminemast::fleet
+{
+
+namespace
+{
+
+constexpr std::uint16_t CallerPort = 7000;
+constexpr std::uint16_t OperatorPort = 7001;
+constexpr std::uint16_t LinkPort = 7002;
+constexpr std::uint16_t TargetPort = 7003;
+constexpr std::uint16_t PlatformPort = 7004;
+constexpr std::size_t Slots = 12;
+constexpr std::size_t CallsAtOnce = 24;
+constexpr std::size_t AnswerPadding = 2'000;
+constexpr int ReadyPolls = 200;
+constexpr Milliseconds ReadyPollInterval {50};
+constexpr Milliseconds LongPollTime {5'000};
+constexpr std::uint64_t LongestWorkMs = 20;
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusNotFound = 404;
+
+std::string hostName(std::size_t host)
+{
+    return "h" + std::to_string(host);
+}
+
+std::string answerFor(const std::string &key)
+{
+    return key + ":" + std::string(AnswerPadding, 'x');
+}
+
+} // namespace
+
+Fleet::Fleet(std::size_t hosts)
+    : m_network("127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 256) + ".")
+    , m_folder(std::filesystem::temp_directory_path() / ("jasminemast-fleet-" + std::to_string(::getpid())))
+    , m_nodes(hosts, 0)
+{
+    std::filesystem::create_directories(m_folder);
+    for (std::size_t host = 0; host < hosts; ++host) {
+        auto target = std::make_unique<Target>();
+        target->server = std::make_unique<HttpServer>(
+            m_loop, SocketAddress {address(host), TargetPort}, HttpServerLimits {},
+            [this, host](const std::shared_ptr<HttpExchange> &exchange) { onTarget(host, exchange); },
+            [](ResultCode) {});
+        m_targets.push_back(std::move(target));
+    }
+    publish();
+    m_platform = std::make_unique<HttpServer>(
+        m_loop, SocketAddress {address(0), PlatformPort}, HttpServerLimits {},
+        [this](const std::shared_ptr<HttpExchange> &exchange) { onPlatform(exchange); }, [](ResultCode) {});
+}
+
+Fleet::~Fleet()
+{
+    for (std::size_t host = 0; host < m_nodes.size(); ++host) {
+        if (m_nodes[host] != 0) {
+            signalNode(host, SIGKILL);
+            ::waitpid(m_nodes[host], nullptr, 0);
+        }
+    }
+    std::filesystem::remove_all(m_folder);
+}
+
+std::string Fleet::address(std::size_t host) const
+{
+    return m_network + std::to_string(host + 1);
+}
+
+void Fleet::publish()
+{
+    nlohmann::json ticket;
+    nlohmann::json hosts = nlohmann::json::array();
+    ticket["number"] = 1;
+    ticket["previous"] = Digest {}.hex();
+    ticket["routes"]["all"] = {{"pathPrefix", "/"}, {"service", "all"}};
+    for (std::size_t host = 0; host < m_nodes.size(); ++host) {
+        const std::string name = hostName(host);
+        ticket["services"]["all"]["endpoints"].push_back(name);
+        ticket["endpoints"][name] = {{"host", name}, {"port", TargetPort}, {"slots", Slots}};
+        hosts.push_back(
+            {{"host", name}, {"region", "r"}, {"zone", "z"}, {"address", address(host)}, {"state", "live"}});
+    }
+    const std::string bytes = ticket.dump();
+    m_values["/v1/kv/tickets/1"] = bytes;
+    m_values["/v1/kv/accepted"] = nlohmann::json {{"number", 1}, {"digest", sha256(bytes).hex()}}.dump();
+    m_values["/v1/hosts"] = hosts.dump();
+}
+
+void Fleet::onPlatform(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const auto found = m_values.find(std::string(exchange->request().path()));
+    const bool known = found != m_values.end();
+    const auto respond = [exchange, known, value = known ? found->second : std::string()] {
+        exchange->respond(known ? StatusOk : StatusNotFound, {{"X-Index", "1"}}, value);
+    };
+    if (exchange->request().query("index") == "1") {
+        later(LongPollTime, respond);
+        return;
+    }
+    respond();
+}
+
+void Fleet::onTarget(std::size_t host, const std::shared_ptr<HttpExchange> &exchange)
+{
+    Target &target = *m_targets[host];
+    if (exchange->request().path() == "/health") {
+        exchange->respond(StatusOk, {}, nlohmann::json {{"state", target.health}, {"load", 0}}.dump());
+        return;
+    }
+    const std::string key = exchange->request().target.substr(1);
+    ++m_ledger[key];
+    ++target.runs;
+    later(Milliseconds(m_random.below(LongestWorkMs)),
+          [exchange, key] { exchange->respond(StatusOk, {}, answerFor(key)); });
+}
+
+void Fleet::later(Milliseconds delay, std::function<void()> work)
+{
+    std::erase_if(m_timers, [](const auto &timer) { return !timer->isActive(); });
+    // Posted, so that the work may start another timer, which removes this one.
+    m_timers.push_back(std::make_unique<Timer>(m_loop, [this, work = std::move(work)] { m_loop.post(work); }));
+    m_timers.back()->start(delay);
+}
+
+bool Fleet::start()
+{
+    for (std::size_t host = 0; host < m_nodes.size(); ++host) {
+        startNode(host);
+    }
+    return awaitReady();
+}
+
+bool Fleet::awaitReady()
+{
+    for (int poll = 0; poll < ReadyPolls; ++poll) {
+        std::size_t ready = 0;
+        for (std::size_t host = 0; host < m_nodes.size(); ++host) {
+            ready += isReady(host) ? 1 : 0;
+        }
+        if (ready == m_nodes.size()) {
+            return true;
+        }
+        pass(ReadyPollInterval);
+    }
+    return false;
+}
+
+bool Fleet::isReady(std::size_t host)
+{
+    HttpClientRequest request;
+    request.url = "http://" + address(host) + ":" + std::to_string(OperatorPort) + "/v1/ready";
+    bool ready = false;
+    m_client.fetch(std::move(request),
+                   [this, &ready](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
+                       ready = status == StatusOk;
+                       m_loop.stop();
+                   });
+    m_loop.run();
+    return ready;
+}
+
+void Fleet::startNode(std::size_t host)
+{
+    const std::string platform = "http://" + address(0) + ":" + std::to_string(PlatformPort);
+    const nlohmann::json settings = {{"host", hostName(host)},
+                                     {"region", "r"},
+                                     {"zone", "z"},
+                                     {"address", address(host)},
+                                     {"callerPort", CallerPort},
+                                     {"operatorPort", OperatorPort},
+                                     {"linkPort", LinkPort},
+                                     {"configSource", platform},
+                                     {"hostList", platform},
+                                     {"storeRegion", "r"}};
+    const std::string file = (m_folder / (hostName(host) + ".json")).string();
+    std::ofstream(file) << settings.dump();
+    const std::string flag = "--settings=" + file;
+    const std::string log = (m_folder / (hostName(host) + ".log")).string();
+    const pid_t child = ::fork();
+    if (child == 0) {
+        const int out = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0600);
+        ::dup2(out, STDERR_FILENO);
+        ::execl(JASMINEMAST_BINARY, JASMINEMAST_BINARY, "node", flag.c_str(), "--logtostderr", nullptr);
+        ::_exit(127);
+    }
+    m_nodes[host] = child;
+}
+
+void Fleet::signalNode(std::size_t host, int signal)
+{
+    // Process 0 would be this test's own group.
+    if (m_nodes[host] != 0) {
+        ::kill(m_nodes[host], signal);
+    }
+}
+
+void Fleet::replaceNode(std::size_t host)
+{
+    signalNode(host, SIGKILL);
+    ::waitpid(m_nodes[host], nullptr, 0);
+    startNode(host);
+}
+
+void Fleet::rollNode(std::size_t host)
+{
+    if (m_rolling.empty()) {
+        m_rolling.insert(host);
+        signalNode(host, SIGTERM);
+        awaitRolled(host);
+    }
+}
+
+void Fleet::finishRolling()
+{
+    while (!m_rolling.empty()) {
+        pass(ReadyPollInterval);
+    }
+}
+
+void Fleet::awaitRolled(std::size_t host)
+{
+    int status = 0;
+    if (::waitpid(m_nodes[host], &status, WNOHANG) == 0) {
+        later(ReadyPollInterval, [this, host] { awaitRolled(host); });
+        return;
+    }
+    m_rolled.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+    m_rolling.erase(host);
+    startNode(host);
+}
+
+int Fleet::waitForNode(std::size_t host)
+{
+    int status = 0;
+    // The fakes go on serving while the node finishes its calls.
+    while (::waitpid(m_nodes[host], &status, WNOHANG) == 0) {
+        pass(ReadyPollInterval);
+    }
+    m_nodes[host] = 0;
+    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+}
+
+void Fleet::setHealth(std::size_t host, const std::string &state)
+{
+    m_targets[host]->health = state;
+}
+
+void Fleet::call(std::size_t total, const std::function<void(std::size_t)> &onProgress)
+{
+    m_total = m_started + total;
+    const std::size_t before = m_records.size();
+    m_onProgress = [onProgress, before](std::size_t ended) {
+        onProgress(ended - before);
+    };
+    for (std::size_t i = 0; i < CallsAtOnce && m_started < m_total; ++i) {
+        startCall();
+    }
+    while (m_records.size() < m_total) {
+        m_loop.run();
+    }
+}
+
+void Fleet::startCall()
+{
+    CallRecord record;
+    record.key = "call" + std::to_string(m_started);
+    record.repeatable = m_started % 3 == 0;
+    ++m_started;
+    HttpClientRequest request;
+    request.method = record.repeatable ? "GET" : "POST";
+    request.url = "http://" + address(0) + ":" + std::to_string(CallerPort) + "/" + record.key;
+    request.headers = {{"Jasminemast-Deadline-Ms", "4000"}};
+    request.atMostOnce = true;
+    m_client.fetch(std::move(request),
+                   [this, record](const HttpClientResult &result, unsigned status, const HttpHeaders &headers,
+                                  const std::string &body) {
+                       CallRecord ended = record;
+                       ended.status = result.code == ResultCode::Ok ? status : 0;
+                       const std::string *outcome = findHeader(headers, "Jasminemast-Outcome");
+                       ended.outcome = outcome == nullptr ? "" : *outcome;
+                       ended.body = body;
+                       m_records.push_back(std::move(ended));
+                       m_loop.post([this] {
+                           m_onProgress(m_records.size());
+                           if (m_started < m_total) {
+                               startCall();
+                           } else if (m_records.size() == m_total) {
+                               m_loop.stop();
+                           }
+                       });
+                   });
+}
+
+void Fleet::pass(Milliseconds duration)
+{
+    Timer timer(m_loop, [this] { m_loop.stop(); });
+    timer.start(duration);
+    m_loop.run();
+}
+
+std::size_t Fleet::answered() const
+{
+    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(),
+                                                  [](const CallRecord &record) { return record.status == StatusOk; }));
+}
+
+std::string Fleet::failures() const
+{
+    std::string text;
+    for (const CallRecord &record : m_records) {
+        if (record.status != StatusOk) {
+            text += record.key + " " + std::to_string(record.status) + " " + record.outcome + " " + record.body;
+        }
+    }
+    return text;
+}
+
+std::vector<std::string> Fleet::violations() const
+{
+    std::vector<std::string> found;
+    for (const CallRecord &record : m_records) {
+        const auto entry = m_ledger.find(record.key);
+        const std::size_t runs = entry == m_ledger.end() ? 0 : entry->second;
+        if (!record.repeatable && runs > 1) {
+            found.push_back("ran twice: " + record.key);
+        }
+        if (record.outcome == "not-run" && runs > 0) {
+            found.push_back("called not run but ran: " + record.key);
+        }
+        if (record.status == StatusOk && (runs == 0 || record.body != answerFor(record.key))) {
+            found.push_back("not its own whole answer: " + record.key);
+        }
+        if (record.status == 0) {
+            found.push_back("cut: " + record.key);
+        }
+    }
+    return found;
+}
+
+} // namespace jasminemast::fleet
