--- a/include/jasminemast/spread/settings.h
+++ b/include/jasminemast/spread/settings.h
@@ -1,12 +1,10 @@
-// Settings of configuration distribution: the "control" section of a node's settings.
+// Settings of configuration distribution.
 #pragma once
 
 #include "jasminemast/member/membership.h"
 #include "jasminemast/support/clock.h"
 #include "jasminemast/support/ids.h"
 
-#include <nlohmann/json_fwd.hpp>
-
 namespace jasminemast
 {
 
@@ -19,11 +17,11 @@
     unsigned announceFanout = 4; ///< zone peers told of a new head, and again once it is applied
     unsigned regionAnnounceCount = 1; ///< nodes told of a new head in each other region
     unsigned regionPushCount = 0; ///< nodes that get the ticket itself pushed in each other region
-    Milliseconds regionFallbackDelay {500}; ///< step by which the next node of a region fetches for itself
+    Milliseconds regionFallbackDelay {300}; ///< step after which more nodes of a region fetch for themselves
     Milliseconds askDelay {200}; ///< after which a node without the ticket asks another random peer
     Milliseconds watchWait {4000}; ///< longest wait of one watch call
-    Milliseconds readerHeartbeat {1000};
-    Milliseconds readerTimeout {2500}; ///< silence after which a standby takes over from a reader
+    Milliseconds readerHeartbeat {400};
+    Milliseconds readerTimeout {1000}; ///< silence after which a standby takes over from a reader
     Milliseconds antiEntropyInterval {1000};
     unsigned outsideShare = 10; ///< one exchange in this many goes to another zone
     Milliseconds reportInterval {3000}; ///< between reports of the own version to the zone's readers
@@ -40,8 +38,4 @@
     MembershipSettings membership;
 };
 
-/// Parses the "control" section; absent keys keep their defaults.
-/// \throws ResultError with ControlSettingsInvalid for an unknown key, a wrong type or a value out of range.
-SpreadSettings parseSpreadSettings(const nlohmann::json &section);
-
 } // namespace jasminemast
