[utils] add the zone link, and let the quickstart run through it

A relay on the wildcard address was tried first and fails: a wildcard listener and the nodes' own listeners on the same port exclude each other. The relay now listens on each dialled address.

--- a/utils/drivers/quickstart.cpp
+++ b/utils/drivers/quickstart.cpp
@@ -187,7 +187,9 @@
 
 int runQuickstart(const char *ownPath)
 {
-    Fleet fleet(Topology::make(Regions, ZonesPerRegion, HostsPerZone, PortBase), Programs::find(ownPath));
+    Topology topology = Topology::make(Regions, ZonesPerRegion, HostsPerZone, PortBase);
+    topology.throughZoneLink = true;
+    Fleet fleet(std::move(topology), Programs::find(ownPath));
     try {
         if (runTrial(fleet)) {
             return 0;
--- a/utils/harness/fleet.cpp
+++ b/utils/harness/fleet.cpp
@@ -292,7 +292,18 @@
 
 void Fleet::startZoneLink()
 {
-    throw std::logic_error("the zone link is not built yet");
+    const PortPlan &ports = m_topology.ports;
+    m_platform.emplace_back(
+        std::vector<std::string> {m_programs.standin, "zone-link",
+                                  listenAt(Topology::PlatformAddress, ports.zoneLinkAdmin()),
+                                  "--zones=" + writeFile("zones.json", m_topology.zoneLinkJson()),
+                                  "--platform_region=" + m_topology.storeRegion,
+                                  "--zone_delay_us=" + std::to_string(m_topology.zoneDelay.count()),
+                                  "--region_delay_us=" + std::to_string(m_topology.regionDelay.count())},
+        logPath("zone-link"));
+    if (!waitForPage(zoneLinkAdminUrl() + "/admin/bytes", StartLimit)) {
+        throw std::runtime_error("the zone link did not start");
+    }
 }
 
 void Fleet::setZonePair(const nlohmann::json &pair) const
--- a/utils/harness/topology.cpp
+++ b/utils/harness/topology.cpp
@@ -63,6 +63,23 @@
     return json;
 }
 
+nlohmann::json Topology::zoneLinkJson() const
+{
+    const auto at = [](const std::string &address, std::uint16_t port) {
+        return address + ":" + std::to_string(port);
+    };
+    nlohmann::json json = {{"hosts", nlohmann::json::array()}, {"zones", nlohmann::json::array()}};
+    json["platform"] = {at(PlatformAddress, ports.configSource())};
+    for (const ZonePlan &zone : zones) {
+        json["zones"].push_back({{"number", zone.number}, {"region", zone.region}});
+        json["platform"].push_back(at(PlatformAddress, ports.hostListView(zone.number)));
+    }
+    for (const HostPlan &host : hosts) {
+        json["hosts"].push_back(at(host.address, ports.link()));
+    }
+    return json;
+}
+
 nlohmann::json Topology::settingsJson(const HostPlan &host) const
 {
     const ZonePlan &zone = zoneOf(host);
--- a/utils/harness/topology.h
+++ b/utils/harness/topology.h
@@ -1,6 +1,7 @@
 // The regions, zones and hosts of one trial fleet, and the settings file of each node.
 #pragma once
 
+#include <chrono>
 #include <cstdint>
 #include <nlohmann/json.hpp>
 #include <string>
@@ -71,6 +72,8 @@
     std::vector<HostPlan> hosts;
     std::string storeRegion; ///< region in which the configuration service stands
     PortPlan ports;
+    std::chrono::microseconds zoneDelay {500}; ///< one way, between zones of one region
+    std::chrono::microseconds regionDelay {20'000}; ///< one way, between regions
     bool throughZoneLink = false; ///< other zones and the platform are dialled through the zone link
     nlohmann::json extraSettings = nlohmann::json::object(); ///< merged into every settings file
 
@@ -83,6 +86,7 @@
     }
     [[nodiscard]] nlohmann::json hostListJson() const;
     [[nodiscard]] nlohmann::json viewsJson() const;
+    [[nodiscard]] nlohmann::json zoneLinkJson() const;
     [[nodiscard]] nlohmann::json settingsJson(const HostPlan &host) const;
     [[nodiscard]] std::string configSourceUrl() const;
     [[nodiscard]] std::string hostListUrl() const;
--- /dev/null
+++ b/utils/standins/dialledaddress.cpp
@@ -0,0 +1,52 @@
+// Arithmetic on the second octet.
+#include "dialledaddress.h"
+
+#include <cstdint>
+
+namespace jasminemast::standin
+{
+
+namespace
+{
+
+constexpr unsigned SecondOctetShift = 16;
+constexpr std::uint32_t OctetMask = 0xffU;
+
+unsigned secondOctet(const sockaddr_in &address)
+{
+    return (ntohl(address.sin_addr.s_addr) >> SecondOctetShift) & OctetMask;
+}
+
+sockaddr_in withSecondOctet(sockaddr_in address, std::uint32_t octet)
+{
+    const std::uint32_t others = ntohl(address.sin_addr.s_addr) & ~(OctetMask << SecondOctetShift);
+    address.sin_addr.s_addr = htonl(others | (octet << SecondOctetShift));
+    return address;
+}
+
+} // namespace
+
+DialledPair dialledPair(const sockaddr_in &dialled)
+{
+    const unsigned octet = secondOctet(dialled);
+    return {octet / ZonesPerViewer, octet % ZonesPerViewer};
+}
+
+sockaddr_in realAddress(const sockaddr_in &dialled)
+{
+    const unsigned zone = dialledPair(dialled).to;
+    return withSecondOctet(dialled, zone == PlatformZone ? 0 : zone);
+}
+
+sockaddr_in dialledAddress(const sockaddr_in &real, unsigned viewer)
+{
+    return withSecondOctet(real, ZonesPerViewer * viewer + zoneOf(real));
+}
+
+unsigned zoneOf(const sockaddr_in &real)
+{
+    const unsigned octet = secondOctet(real);
+    return octet == 0 ? PlatformZone : octet;
+}
+
+} // namespace jasminemast::standin
--- a/utils/standins/main.cpp
+++ b/utils/standins/main.cpp
@@ -3,6 +3,7 @@
 #include "configsource.h"
 #include "hostlist.h"
 #include "target.h"
+#include "zonelink.h"
 
 #include <array>
 #include <gflags/gflags.h>
@@ -18,10 +19,11 @@
     int (*run)();
 };
 
-constexpr std::array<SubCommand, 4> SubCommands {{
+constexpr std::array<SubCommand, 5> SubCommands {{
     {"config-source", jasminemast::standin::runConfigSource},
     {"host-list", jasminemast::standin::runHostList},
     {"target", jasminemast::standin::runTarget},
+    {"zone-link", jasminemast::standin::runZoneLink},
     {"load", jasminemast::standin::runLoad},
 }};
 
