--- a/include/jasminemast/spread/topology.h
+++ b/include/jasminemast/spread/topology.h
@@ -34,7 +34,8 @@
 public:
     Topology(SelfInfo self, const SpreadSettings &settings, const Membership &membership, const ZoneTable &zoneTable);
 
-    void setHostList(HostList list);
+    /// Takes the platform's list. Hosts of the own zone that it lacks stay while they answer.
+    void setHostList(const HostList &list);
     void setSelfLeaving();
     /// Remembers whether the process on \p host says that it drains.
     void noteLeaving(const HostId &host, bool leaving);
@@ -57,7 +58,13 @@
     [[nodiscard]] bool inStoreRegion() const;
 
     [[nodiscard]] HostCondition condition(const HostId &host, TimePoint now) const;
-    /// Hosts of \p zone that may hold duties; this host is among them in its own zone unless it leaves.
+    /// Changes whenever the usable hosts of the own zone may have changed.
+    [[nodiscard]] std::uint64_t revision() const
+    {
+        return m_membership.revision();
+    }
+    /// Hosts of \p zone that may hold duties: neither dead nor leaving, in the own zone not even suspected; this host
+    /// is among them in its own zone unless it leaves.
     [[nodiscard]] std::vector<HostId> usableInZone(const ZoneId &zone, TimePoint now) const;
     [[nodiscard]] std::vector<HostId> usableInRegion(const RegionId &region, TimePoint now) const;
     /// Hosts of \p zone in the order in which they are to watch the service.
@@ -70,6 +77,8 @@
     [[nodiscard]] std::vector<ZoneId> otherZones(bool ownRegionOnly) const;
 
 private:
+    [[nodiscard]] HostList withAnsweringPeers(const HostList &list) const;
+
     SelfInfo m_self;
     const SpreadSettings &m_settings;
     const Membership &m_membership;
--- a/lib/spread/topology.cpp
+++ b/lib/spread/topology.cpp
@@ -17,15 +17,32 @@
 {
 }
 
-void Topology::setHostList(HostList list)
+void Topology::setHostList(const HostList &list)
 {
-    m_list = std::move(list);
+    m_list = withAnsweringPeers(list);
     m_zoneRegions.clear();
     for (const auto &[host, entry] : m_list.entries()) {
         m_zoneRegions.emplace(entry.zone, entry.region);
     }
 }
 
+/// Adds the hosts of the own zone that answer although \p list lacks them: liveness outweighs the lagging list.
+HostList Topology::withAnsweringPeers(const HostList &list) const
+{
+    std::vector<HostEntry> entries;
+    for (const auto &[host, entry] : list.entries()) {
+        entries.push_back(entry);
+    }
+    for (const auto &[host, entry] : m_list.entries()) {
+        const bool heard = m_membership.incarnation(host).value_or(Incarnation()) != Incarnation();
+        const bool answers = heard && m_membership.liveness(host) == Liveness::Alive;
+        if (answers && list.find(host) == nullptr && entry.zone == m_self.zone) {
+            entries.push_back(entry);
+        }
+    }
+    return HostList(entries);
+}
+
 void Topology::setSelfLeaving()
 {
     m_selfLeaving = true;
@@ -91,10 +108,8 @@
 std::vector<HostId> Topology::usableInZone(const ZoneId &zone, TimePoint now) const
 {
     std::set<HostId> dead;
-    if (zone == m_self.zone) {
-        const auto deadPeers = m_membership.deadPeers();
-        dead.insert(deadPeers.begin(), deadPeers.end());
-    } else if (const auto summary = m_zoneTable.fresh(zone, now)) {
+    const bool ownZone = zone == m_self.zone;
+    if (const auto summary = m_zoneTable.fresh(zone, now); summary && !ownZone) {
         dead.insert(summary->dead.begin(), summary->dead.end());
     }
     std::vector<HostId> usable;
@@ -105,6 +120,10 @@
         if (dead.contains(host) || m_leaving.contains(host)) {
             continue;
         }
+        const auto liveness = ownZone ? m_membership.liveness(host) : std::nullopt;
+        if (liveness && *liveness != Liveness::Alive) {
+            continue;
+        }
         if (host == m_self.host && m_selfLeaving) {
             continue;
         }
