--- /dev/null
+++ b/include/jasminemast/node/controltask.h
@@ -0,0 +1,103 @@
+// The control task of a node: sockets, timers and platform reads round the core of configuration distribution.
+#pragma once
+
+#include "jasminemast/net/datagramsocket.h"
+#include "jasminemast/node/configsource.h"
+#include "jasminemast/node/pulllinks.h"
+#include "jasminemast/node/sourcewatcher.h"
+#include "jasminemast/node/ticketwaiters.h"
+#include "jasminemast/node/views.h"
+#include "jasminemast/spread/spreadcore.h"
+#include "jasminemast/support/metrics.h"
+
+namespace jasminemast
+{
+
+class ControlTask final : public ConfigView, public FleetView
+{
+public:
+    /// Opens the datagram socket.
+    /// \throws ResultError with BindFailed.
+    ControlTask(Loop &loop, const Clock &clock, const NodeSettings &settings, Incarnation incarnation, LinkPool &links,
+                Metrics &metrics);
+
+    void start();
+    /// Tells peers that this process takes no more work.
+    void beginDrain();
+
+    [[nodiscard]] StatePtr current() const override
+    {
+        return m_log.state();
+    }
+    void whenReached(TicketNumber number, TimePoint deadline, std::function<void(bool)> done) override;
+    [[nodiscard]] const HostView *findHost(const HostId &host) const override;
+
+    /// A message of \p peer named \p number; a higher one than this node runs is pulled from there at once.
+    void observeNumber(const HostId &peer, TicketNumber number);
+    /// Calls \p handler after each change of the state in force.
+    void subscribe(std::function<void(const StatePtr &)> handler);
+
+    void onFrame(const std::shared_ptr<Link> &link, ControlFrame type, std::string_view payload);
+    void onLinkDown(const std::shared_ptr<Link> &link);
+
+    [[nodiscard]] Readiness readiness() const
+    {
+        return m_core.readiness();
+    }
+    [[nodiscard]] bool isReady() const
+    {
+        return readiness() != Readiness::Joining;
+    }
+    [[nodiscard]] const Logbook &logbook() const
+    {
+        return m_log.logbook();
+    }
+    [[nodiscard]] const SpreadCore &core() const
+    {
+        return m_core;
+    }
+    [[nodiscard]] const TicketLog &log() const
+    {
+        return m_log;
+    }
+
+private:
+    void handle(const SpreadEvent &event);
+    void perform(const SendMessage &action);
+    void perform(const StartWatch &action);
+    void perform(const FetchTicket &action);
+    void perform(const FetchCheckpoint &action);
+    void perform(const SendPull &action);
+    void perform(const AnswerPull &action);
+    void perform(const PublishState &action);
+    void perform(const ReadinessChanged &action);
+    void perform(const ConflictSeen &action);
+
+    void onDatagram(std::string_view bytes);
+    void onHosts(std::string_view value);
+    void noteSource(ResultCode code);
+    void logVerdicts();
+    PullLinks::Handlers pullHandlers();
+    [[nodiscard]] std::optional<SocketAddress> addressOf(const HostId &host) const;
+
+    Loop &m_loop;
+    const Clock &m_clock;
+    const NodeSettings &m_settings;
+    Metrics &m_metrics;
+    Random m_random;
+    TicketLog m_log;
+    TicketStore m_store;
+    SpreadCore m_core;
+    HttpClient m_http;
+    HttpConfigSource m_source;
+    SourceWatcher m_hostWatcher;
+    DatagramSocket m_socket;
+    PullLinks m_pullLinks;
+    TicketWaiters m_waiters;
+    Timer m_tickTimer;
+    bool m_sourceDown = false;
+    std::vector<std::function<void(const StatePtr &)>> m_subscribers;
+    mutable std::map<HostId, HostView> m_views; ///< what findHost() handed out last
+};
+
+} // namespace jasminemast
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -4,7 +4,7 @@
 #include "jasminemast/call/pauseguard.h"
 #include "jasminemast/node/callclient.h"
 #include "jasminemast/node/callserver.h"
-#include "jasminemast/node/directcontrol.h"
+#include "jasminemast/node/controltask.h"
 #include "jasminemast/node/entryside.h"
 #include "jasminemast/node/operatorapi.h"
 #include "jasminemast/node/targetside.h"
@@ -42,9 +42,9 @@
     Random m_random;
     PauseGuard m_pauseGuard;
     Metrics m_metrics;
-    DirectControl m_control;
-    TargetSide m_target;
     LinkPool m_links;
+    ControlTask m_control;
+    TargetSide m_target;
     CallServer m_callServer;
     CallClient m_callClient;
     EntrySide m_entry;
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jasminemast/net/httpserver.h"
-#include "jasminemast/node/directcontrol.h"
+#include "jasminemast/node/controltask.h"
 #include "jasminemast/support/metrics.h"
 
 #include <functional>
@@ -15,7 +15,7 @@
 {
 public:
     /// \p updateGauges is called before metrics are rendered.
-    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
+    OperatorApi(Loop &loop, const NodeSettings &settings, const ControlTask &control, Metrics &metrics,
                 std::function<void()> updateGauges);
 
 private:
@@ -24,7 +24,7 @@
     [[nodiscard]] std::string logbookJson() const;
 
     const NodeSettings &m_settings;
-    const DirectControl &m_control;
+    const ControlTask &m_control;
     Metrics &m_metrics;
     std::function<void()> m_updateGauges;
     HttpServer m_server;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -47,12 +47,12 @@
     , m_random(std::random_device {}())
     , m_pauseGuard(PauseLimits {}, clock.now())
     , m_metrics(clock)
-    , m_control(loop, clock, m_settings, m_metrics)
+    , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
+              SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
+    , m_control(loop, clock, m_settings, m_incarnation, m_links, m_metrics)
     , m_target(loop, clock, m_control, m_control,
                TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_metrics,
                [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
-    , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
-              SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
     , m_callServer(m_target, clock, m_pauseGuard, m_settings.calls.maxRequestBytes)
     , m_entry(
           EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient, m_metrics},
@@ -109,6 +109,10 @@
 void Node::onFrame(const std::shared_ptr<Link> &link, FrameType type, std::string_view payload)
 {
     observeClock();
+    if (isControlFrame(type)) {
+        m_control.onFrame(link, static_cast<ControlFrame>(type), payload);
+        return;
+    }
     const auto frame = static_cast<CallFrame>(type);
     if (frame == CallFrame::Announce) {
         m_entry.onAnnounced(decodeMessage<AnnounceMessage>(payload, ResultCode::FrameMalformed));
@@ -125,6 +129,7 @@
 {
     m_metrics.count(Counter::LinksDown, reason);
     logEvent(Event::LinkDown, {{"peer", link->peer().host.value()}, {"reason", std::to_string(number(reason))}});
+    m_control.onLinkDown(link);
     m_callClient.onLinkDown(link);
     m_callServer.onLinkDown(link);
     if (link->isOutgoing()) {
@@ -137,6 +142,7 @@
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
     m_drainBegan = m_clock.now();
     m_callerServer.stopAccepting();
+    m_control.beginDrain();
     m_entry.beginDrain();
     m_target.beginDrain();
     m_drainTimer.startRepeating(DrainCheckInterval);
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -17,7 +17,7 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
+OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const ControlTask &control, Metrics &metrics,
                          std::function<void()> updateGauges)
     : m_settings(settings)
     , m_control(control)
@@ -65,10 +65,10 @@
 std::string OperatorApi::logbookJson() const
 {
     auto json = nlohmann::json::array();
-    for (const LogbookEntry &entry : m_control.logbook()) {
+    for (const LogEntry &entry : m_control.logbook().entries()) {
         nlohmann::json item;
-        item["number"] = entry.number.value();
-        item["digest"] = entry.digest.hex();
+        item["number"] = entry.head.number.value();
+        item["digest"] = entry.head.digest.hex();
         item["verdict"] = entry.code == ResultCode::Ok ? "accepted" : "refused";
         item["code"] = number(entry.code);
         item["detail"] = entry.detail;
