--- a/include/jasminemast/node/callserver.h
+++ b/include/jasminemast/node/callserver.h
@@ -5,6 +5,7 @@
 #include "jasminemast/net/link.h"
 #include "jasminemast/node/targetside.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 
@@ -21,6 +22,12 @@
     CallServer(const CallServer &) = delete;
     CallServer &operator=(const CallServer &) = delete;
 
+    /// Calls \p handler with the asking host and the configuration that it routed by, before an attempt starts.
+    void setNumberObserver(std::function<void(const HostId &, TicketNumber)> handler)
+    {
+        m_onNumber = std::move(handler);
+    }
+
     /// Handles Open, RequestBody, Credit, Cancel and Fence.
     /// \throws ResultError with FrameMalformed or RequestTooLarge, upon which the link is to be closed.
     void onFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
@@ -44,6 +51,7 @@
     const PauseGuard &m_pauseGuard;
     std::size_t m_maxRequestBytes;
     std::map<Key, std::unique_ptr<Stream>> m_streams;
+    std::function<void(const HostId &, TicketNumber)> m_onNumber;
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -15,14 +15,16 @@
 {
 public:
     /// \p updateGauges is called before metrics are rendered.
-    OperatorApi(Loop &loop, const NodeSettings &settings, const ControlTask &control, Metrics &metrics,
-                std::function<void()> updateGauges);
+    OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+                Metrics &metrics, std::function<void()> updateGauges);
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange) const;
     [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] std::string fleetJson() const;
     [[nodiscard]] std::string logbookJson() const;
 
+    const Clock &m_clock;
     const NodeSettings &m_settings;
     const ControlTask &m_control;
     Metrics &m_metrics;
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -169,6 +169,9 @@
     if (m_streams.contains(key)) {
         throw ResultError(ResultCode::FrameMalformed, "stream opened twice");
     }
+    if (m_onNumber) {
+        m_onNumber(link->peer().host, open.ticket);
+    }
     auto stream = std::make_unique<Stream>(link);
     stream->open = std::move(open);
     stream->arrived = m_clock.now() - m_pauseGuard.inputAge(m_clock.now());
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -67,13 +67,15 @@
               m_metrics.count(Counter::InputRefused, code);
               logEvent(Event::CallRefused, {{"code", std::to_string(number(code))}});
           })
-    , m_operators(loop, m_settings, m_control, m_metrics, [this] { updateGauges(); })
+    , m_operators(loop, clock, m_settings, m_control, m_metrics, [this] { updateGauges(); })
     , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
     , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
     , m_drainTimer(loop, [this] { checkDrained(); })
     , m_pauseTimer(loop, [this] { observeClock(); })
 {
     m_pauseTimer.startRepeating(PauseCheckInterval);
+    m_callServer.setNumberObserver(
+        [this](const HostId &peer, TicketNumber number) { m_control.observeNumber(peer, number); });
 }
 
 void Node::run()
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -1,6 +1,8 @@
 // Read-back for operators.
 #include "jasminemast/node/operatorapi.h"
 
+#include "jasminemast/node/fleetstatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jasminemast
@@ -17,9 +19,10 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const ControlTask &control, Metrics &metrics,
-                         std::function<void()> updateGauges)
-    : m_settings(settings)
+OperatorApi::OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+                         Metrics &metrics, std::function<void()> updateGauges)
+    : m_clock(clock)
+    , m_settings(settings)
     , m_control(control)
     , m_metrics(metrics)
     , m_updateGauges(std::move(updateGauges))
@@ -34,7 +37,8 @@
 {
     const std::string_view path = exchange->request().path();
     if (path == "/v1/status") {
-        exchange->respond(StatusOk, JsonHeaders, statusJson());
+        const bool fleet = exchange->request().query("scope") == "fleet";
+        exchange->respond(StatusOk, JsonHeaders, fleet ? fleetJson() : statusJson());
     } else if (path == "/v1/tickets") {
         exchange->respond(StatusOk, JsonHeaders, logbookJson());
     } else if (path == "/v1/ready") {
@@ -59,6 +63,16 @@
     json["ticketDigest"] = state->ticketDigest.hex();
     json["stateDigest"] = state->stateDigest.hex();
     json["ready"] = m_control.isReady();
+    json["degraded"] = m_control.readiness() == Readiness::Degraded;
+    json["acceptedNumber"] = m_control.log().target().number.value();
+    json["reader"] = m_control.core().isReader();
+    return json.dump() + "\n";
+}
+
+std::string OperatorApi::fleetJson() const
+{
+    auto json = nlohmann::json::parse(statusJson());
+    json["zones"] = fleetZones(m_control.core(), m_clock.now());
     return json.dump() + "\n";
 }
 
