--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jasminemast/net/httpserver.h"
-#include "jasminemast/node/directcontrol.h"
+#include "jasminemast/node/controltask.h"
 #include "jasminemast/support/metrics.h"
 
 #include <functional>
@@ -15,16 +15,18 @@
 {
 public:
     /// \p updateGauges is called before metrics are rendered.
-    OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
-                std::function<void()> updateGauges);
+    OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+                Metrics &metrics, std::function<void()> updateGauges);
 
 private:
     void handle(const std::shared_ptr<HttpExchange> &exchange) const;
     [[nodiscard]] std::string statusJson() const;
+    [[nodiscard]] std::string fleetJson() const;
     [[nodiscard]] std::string logbookJson() const;
 
+    const Clock &m_clock;
     const NodeSettings &m_settings;
-    const DirectControl &m_control;
+    const ControlTask &m_control;
     Metrics &m_metrics;
     std::function<void()> m_updateGauges;
     HttpServer m_server;
