--- a/lib/config/snapshot.cpp
+++ b/lib/config/snapshot.cpp
@@ -49,11 +49,38 @@
     }
 }
 
+/// A truth value in one byte; a byte that is neither 0 nor 1 is refused instead of read into a bool.
+void carryFlag(EncodeArchive &archive, bool flag)
+{
+    archive(static_cast<std::uint8_t>(flag ? 1 : 0));
+}
+
+void carryFlag(DecodeArchive &archive, bool &flag)
+{
+    std::uint8_t byte = 0;
+    archive(byte);
+    if (byte > 1) {
+        failMalformed("truth value of " + std::to_string(byte));
+    }
+    flag = byte == 1;
+}
+
+template<class Archive>
+void carryOptionalFlag(Archive &archive, std::optional<bool> &flag)
+{
+    bool isSet = flag.has_value();
+    carryFlag(archive, isSet);
+    bool value = flag.value_or(false);
+    carryFlag(archive, value);
+    flag = isSet ? std::optional<bool>(value) : std::nullopt;
+}
+
 template<class Archive>
 void carry(Archive &archive, Route &route)
 {
     std::int64_t timeoutMs = route.timeout.count();
-    archive(route.id, route.pathPrefix, route.service, route.repeatable, timeoutMs);
+    archive(route.id, route.pathPrefix, route.service, timeoutMs);
+    carryOptionalFlag(archive, route.repeatable);
     carryList(archive, route.methods, TicketLimits::MaxMethods);
     route.timeout = Milliseconds(timeoutMs);
 }
@@ -68,7 +95,8 @@
 template<class Archive>
 void carry(Archive &archive, Endpoint &endpoint)
 {
-    archive(endpoint.id, endpoint.host, endpoint.port, endpoint.slots, endpoint.draining);
+    archive(endpoint.id, endpoint.host, endpoint.port, endpoint.slots);
+    carryFlag(archive, endpoint.draining);
 }
 
 template<class Archive>
--- a/unittests/config/snapshottest.cpp
+++ b/unittests/config/snapshottest.cpp
@@ -165,6 +165,8 @@
          ResultCode::SnapshotMalformed},
         {"other state digest", repack([&](std::string &plain) { plain[stateDigestAt] ^= 1; }),
          ResultCode::SnapshotWrongDigest},
+        {"truth value of 9", repack([](std::string &plain) { plain[plain.find("h1") + 2 + 2 + 4] = 9; }),
+         ResultCode::SnapshotMalformed},
         {"other object", repack([](std::string &plain) { plain[plain.find("h1")] = 'H'; }),
          ResultCode::SnapshotWrongDigest},
     };
