--- /dev/null
+++ b/utils/bench/choicebench.cpp
@@ -0,0 +1,337 @@
+// Compares policies of the call core with simple ones on the same simulated work, on a test clock.
+//
+// Six targets in three zones of one region serve exponential work; callers at one entry node per zone offer a multiple
+// of the capacity. Prints one JSON line for each case.
+#include "jasminemast/call/admission.h"
+#include "jasminemast/call/choice.h"
+#include "jasminemast/call/retry.h"
+
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <iostream>
+#include <queue>
+#include <vector>
+
+using namespace jasminemast;
+
+namespace
+{
+
+constexpr std::size_t Zones = 3;
+constexpr std::size_t Targets = 6;
+constexpr unsigned Slots = 12;
+constexpr double MeanServiceMs = 10;
+constexpr double DeadlineMs = 200;
+constexpr double NetworkMs = 0.5;
+constexpr std::size_t Calls = 200'000;
+constexpr std::uint32_t MaxAttempts = 4;
+
+enum class Policy { TwoChoices, Random, RoundRobin };
+
+struct Case
+{
+    std::string name;
+    Policy policy = Policy::TwoChoices;
+    double offered = 0.9; ///< calls over capacity
+    double queuePerSlot = 1.0;
+    double slowTarget = 1; ///< service time of target 0 over that of the others
+    double failingShare = 0; ///< share of target 0's attempts that fail at once
+    bool ejection = true;
+    bool retryBudget = true;
+};
+
+struct Call
+{
+    std::size_t zone = 0;
+    TimePoint began;
+    std::uint32_t attempts = 0;
+    std::set<EndpointId> avoid;
+};
+
+struct Event
+{
+    TimePoint at;
+    enum class Kind { Begin, Arrive, Done, Reply } kind = Kind::Begin;
+    std::uint64_t call = 0;
+    std::size_t target = 0;
+    bool ok = false;
+    Duration served {0};
+
+    bool operator<(const Event &other) const
+    {
+        return at > other.at; // earliest first in a priority queue
+    }
+};
+
+Duration fromMs(double ms)
+{
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double, std::milli>(ms));
+}
+
+EndpointId endpointOf(std::size_t target)
+{
+    return EndpointId("e" + std::to_string(target));
+}
+
+/// One run of one case.
+class Run
+{
+public:
+    explicit Run(Case parameters)
+        : m_case(std::move(parameters))
+    {
+        ChoiceLimits limits;
+        limits.maxEjectedShare = m_case.ejection ? limits.maxEjectedShare : 0;
+        RetryLimits retry;
+        retry.share = m_case.retryBudget ? retry.share : 1'000;
+        std::vector<Candidate> candidates;
+        for (std::size_t target = 0; target < Targets; ++target) {
+            candidates.push_back({endpointOf(target), HostId("h" + std::to_string(target)), zoneOf(target),
+                                  RegionId("r"), Slots, false});
+            m_admissions.emplace_back(AdmissionLimits {Slots, m_case.queuePerSlot, fromMs(MeanServiceMs)});
+        }
+        for (std::size_t zone = 0; zone < Zones; ++zone) {
+            m_choices.emplace_back(zoneOf(zone), RegionId("r"), limits);
+            m_choices.back().setCandidates(candidates, m_now);
+            m_budgets.emplace_back(retry);
+        }
+    }
+
+    nlohmann::json measure()
+    {
+        schedule(Event {m_now, Event::Kind::Begin, 0, 0, false, {}});
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            m_now = event.at;
+            handle(event);
+        }
+        return result();
+    }
+
+private:
+    static ZoneId zoneOf(std::size_t index)
+    {
+        return ZoneId("z" + std::to_string(index % Zones));
+    }
+
+    void schedule(Event event)
+    {
+        m_events.push(event);
+    }
+
+    double exponential(double mean)
+    {
+        return -mean * std::log(1 - m_random.unit());
+    }
+
+    void handle(const Event &event)
+    {
+        switch (event.kind) {
+        case Event::Kind::Begin:
+            begin();
+            break;
+        case Event::Kind::Arrive:
+            arrive(event);
+            break;
+        case Event::Kind::Done:
+            done(event);
+            break;
+        case Event::Kind::Reply:
+            reply(event);
+            break;
+        }
+    }
+
+    void begin()
+    {
+        const std::uint64_t id = m_begun++;
+        m_calls.emplace(id, Call {m_random.below(Zones), m_now, 0, {}});
+        m_budgets[m_calls.at(id).zone].earn();
+        attempt(id);
+        if (m_begun < Calls) {
+            const double capacityPerMs = Targets * Slots / MeanServiceMs;
+            const double gap = exponential(1 / (capacityPerMs * m_case.offered));
+            schedule(Event {m_now + fromMs(gap), Event::Kind::Begin, 0, 0, false, {}});
+        }
+    }
+
+    std::optional<std::size_t> choose(Call &call)
+    {
+        switch (m_case.policy) {
+        case Policy::TwoChoices: {
+            const auto picked = m_choices[call.zone].pick(call.avoid, m_now, m_random);
+            return picked ? std::optional(std::size_t(picked->value()[1] - '0')) : std::nullopt;
+        }
+        case Policy::Random:
+            return m_random.below(Targets);
+        case Policy::RoundRobin:
+            return m_roundRobin++ % Targets;
+        }
+        return std::nullopt;
+    }
+
+    void attempt(std::uint64_t id)
+    {
+        Call &call = m_calls.at(id);
+        const auto target = choose(call);
+        if (!target) {
+            ++m_failed;
+            m_calls.erase(id);
+            return;
+        }
+        ++call.attempts;
+        ++m_attempts;
+        m_outOfZone += *target % Zones == call.zone ? 0 : 1;
+        m_choices[call.zone].began(endpointOf(*target));
+        schedule(Event {m_now + fromMs(NetworkMs), Event::Kind::Arrive, id, *target, false, {}});
+    }
+
+    void arrive(const Event &event)
+    {
+        if (event.target == 0 && m_random.unit() < m_case.failingShare) {
+            schedule(Event {m_now + fromMs(NetworkMs), Event::Kind::Reply, event.call, 0, false, Duration(-1)});
+            return;
+        }
+        const TimePoint deadline = m_calls.at(event.call).began + fromMs(DeadlineMs);
+        apply(event.target, m_admissions[event.target].offer(attemptId(event.call), deadline, m_now));
+    }
+
+    static AttemptId attemptId(std::uint64_t call)
+    {
+        return {CallId {HostId("n"), Incarnation(1), call}, 1};
+    }
+
+    void apply(std::size_t target, const AdmissionActions &actions)
+    {
+        for (const AdmissionAction &action : actions) {
+            if (const auto *begin = std::get_if<AdmissionStart>(&action)) {
+                const double factor = target == 0 ? m_case.slowTarget : 1;
+                const Duration work = fromMs(exponential(MeanServiceMs * factor));
+                schedule(Event {m_now + work, Event::Kind::Done, begin->attempt.call.sequence, target, true, work});
+                continue;
+            }
+            const auto &refusal = std::get<AdmissionRefuse>(action);
+            schedule(Event {m_now + fromMs(NetworkMs), Event::Kind::Reply, refusal.attempt.call.sequence, target, false,
+                            Duration(0)});
+        }
+    }
+
+    void done(const Event &event)
+    {
+        apply(event.target, m_admissions[event.target].release(attemptId(event.call), event.served, m_now));
+        schedule(Event {m_now + fromMs(NetworkMs), Event::Kind::Reply, event.call, event.target, true, {}});
+    }
+
+    void reply(const Event &event)
+    {
+        Call &call = m_calls.at(event.call);
+        Choice &choice = m_choices[call.zone];
+        const EndpointId endpoint = endpointOf(event.target);
+        const bool failure = !event.ok && event.served < Duration::zero();
+        const auto evidence = failure ? AttemptEvidence::Failure
+            : event.ok                ? AttemptEvidence::Success
+                                      : AttemptEvidence::Neutral;
+        choice.reported(endpoint, m_admissions[event.target].load(), m_now);
+        choice.ended(endpoint, evidence, m_now);
+        const TimePoint deadline = call.began + fromMs(DeadlineMs);
+        if (event.ok) {
+            finish(event.call, m_now <= deadline);
+            return;
+        }
+        call.avoid.insert(endpoint);
+        const RetryBudget::Request request {ResultCode::SlotsFull, true, call.attempts, deadline};
+        if (m_budgets[call.zone].refuse(request, m_now)) {
+            finish(event.call, false);
+            return;
+        }
+        attempt(event.call);
+    }
+
+    void finish(std::uint64_t id, bool good)
+    {
+        if (good) {
+            m_latencies.push_back(std::chrono::duration<double, std::milli>(m_now - m_calls.at(id).began).count());
+        } else {
+            ++m_failed;
+        }
+        m_calls.erase(id);
+    }
+
+    [[nodiscard]] nlohmann::json result()
+    {
+        std::sort(m_latencies.begin(), m_latencies.end());
+        const auto quantile = [this](double share) {
+            return m_latencies[static_cast<std::size_t>(share * static_cast<double>(m_latencies.size() - 1))];
+        };
+        const double seconds = std::chrono::duration<double>(m_now - Start).count();
+        const double capacity = Targets * Slots / MeanServiceMs * 1'000;
+        return {{"case", m_case.name},
+                {"offered", m_case.offered},
+                {"goodput_share_of_capacity", static_cast<double>(m_latencies.size()) / seconds / capacity},
+                {"failed_share", static_cast<double>(m_failed) / Calls},
+                {"attempts_per_call", static_cast<double>(m_attempts) / Calls},
+                {"out_of_zone_share", static_cast<double>(m_outOfZone) / static_cast<double>(m_attempts)},
+                {"p50_ms", quantile(0.5)},
+                {"p99_ms", quantile(0.99)}};
+    }
+
+    static constexpr TimePoint Start {std::chrono::hours(1)};
+
+    Case m_case;
+    TimePoint m_now = Start;
+    Random m_random {20261204};
+    std::priority_queue<Event> m_events;
+    std::vector<Admission> m_admissions;
+    std::vector<Choice> m_choices; ///< by zone of the entry node
+    std::vector<RetryBudget> m_budgets;
+    std::map<std::uint64_t, Call> m_calls;
+    std::vector<double> m_latencies;
+    std::size_t m_roundRobin = 0;
+    std::uint64_t m_begun = 0;
+    std::uint64_t m_attempts = 0;
+    std::uint64_t m_failed = 0;
+    std::uint64_t m_outOfZone = 0;
+};
+
+std::vector<Case> allCases()
+{
+    std::vector<Case> cases;
+    for (const double offered : {0.3, 0.6, 0.9}) {
+        cases.push_back({"two choices, own zone first", Policy::TwoChoices, offered});
+        cases.push_back({"random", Policy::Random, offered});
+        cases.push_back({"round robin", Policy::RoundRobin, offered});
+    }
+    for (const Policy policy : {Policy::TwoChoices, Policy::Random, Policy::RoundRobin}) {
+        const std::string name = policy == Policy::TwoChoices ? "two choices"
+            : policy == Policy::Random                        ? "random"
+                                                              : "round robin";
+        cases.push_back({name + ", one target 3 times slower", policy, 0.6, 1.0, 3});
+        cases.push_back({name + ", one target fails half", policy, 0.6, 1.0, 1, 0.5});
+    }
+    cases.push_back({"no ejection, one target fails all", Policy::TwoChoices, 0.6, 1.0, 1, 1.0, false});
+    cases.push_back({"ejection, one target fails all", Policy::TwoChoices, 0.6, 1.0, 1, 1.0, true});
+    cases.push_back({"no ejection, one target fails half", Policy::TwoChoices, 0.6, 1.0, 1, 0.5, false});
+    for (const double queue : {0.0, 0.5, 1.0, 4.0, 32.0}) {
+        for (const double offered : {0.9, 1.0, 2.0, 5.0}) {
+            cases.push_back(
+                {"queue of " + nlohmann::json(queue).dump() + " per slot", Policy::TwoChoices, offered, queue});
+        }
+    }
+    for (const double offered : {2.0, 5.0}) {
+        cases.push_back({"no retry budget", Policy::TwoChoices, offered, 1.0, 1, 0, true, false});
+    }
+    return cases;
+}
+
+} // namespace
+
+int main()
+{
+    for (const Case &each : allCases()) {
+        std::cout << Run(each).measure().dump() << std::endl;
+    }
+    return 0;
+}
