[call] eject by a smoothed failure rate instead of failures in a row

Cause: a target that fails half of its attempts at once looks idle, draws most calls of its zone and is hardly ever seen to fail five times in a row; the retries it causes exceed the budget. Ruled out: a larger retry budget, which would only carry the load back under overload. Change: attempts feed a smoothed failure rate (one part in eight); 0.4 ejects, four failures in a row reach it. The unit test now wants ejection at exactly four failures instead of five.

--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -23,7 +23,8 @@
     double slowStartFloor = 0.1; ///< share of a cold endpoint at first
     Duration leavingLifetime = std::chrono::seconds(5); ///< age at which an announcement to leave is forgotten
     Duration reportLifetime = std::chrono::seconds(1); ///< age at which a load report is forgotten
-    unsigned failuresToEject = 5; ///< failures in a row
+    double failureRateToEject = 0.4; ///< smoothed; reached by four failures in a row
+    double failureRateToForgive = 0.1; ///< smoothed; below it the next ejection is a first one again
     Duration ejectFor = std::chrono::seconds(1); ///< first ejection; doubled each time
     Duration ejectAtMost = std::chrono::seconds(30);
     double maxEjectedShare = 0.34; ///< of the endpoints of a service; at least the rest stays in use
@@ -87,8 +88,8 @@
         unsigned inFlightAtReport = 0;
         std::optional<TimePoint> reportedAt;
         std::optional<TimePoint> coldSince; ///< unset: warm
-        unsigned failuresInRow = 0;
-        unsigned ejections = 0; ///< since the last success
+        double failureRate = 0; ///< smoothed share of attempts that failed
+        unsigned ejections = 0; ///< since the endpoint was last forgiven
         std::optional<TimePoint> ejectedUntil;
     };
     enum class Tier : std::uint8_t { Zone, Region, Everywhere };
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -7,6 +7,14 @@
 namespace jasminemast
 {
 
+namespace
+{
+
+/// The newest attempt counts for one part in this many of the failure rate.
+constexpr double FailureSmoothing = 8;
+
+} // namespace
+
 Choice::Choice(ZoneId zone, RegionId region, ChoiceLimits limits)
     : m_zone(std::move(zone))
     , m_region(std::move(region))
@@ -156,12 +164,13 @@
     endpoint.inFlight -= endpoint.inFlight > 0 ? 1 : 0;
     switch (evidence) {
     case AttemptEvidence::Success:
-        endpoint.failuresInRow = 0;
-        endpoint.ejections = 0;
-        endpoint.ejectedUntil.reset();
+        endpoint.failureRate -= endpoint.failureRate / FailureSmoothing;
+        if (endpoint.failureRate < m_limits.failureRateToForgive) {
+            endpoint.ejections = 0;
+        }
         break;
     case AttemptEvidence::Failure:
-        ++endpoint.failuresInRow;
+        endpoint.failureRate += (1 - endpoint.failureRate) / FailureSmoothing;
         considerEjection(endpoint, now);
         break;
     case AttemptEvidence::Neutral:
@@ -172,9 +181,7 @@
 void Choice::considerEjection(Endpoint &endpoint, TimePoint now)
 {
     const bool ejected = endpoint.ejectedUntil && now < *endpoint.ejectedUntil;
-    // After its first ejection an endpoint is on probation: one more failure is enough.
-    const unsigned needed = endpoint.ejections > 0 ? 1 : m_limits.failuresToEject;
-    if (ejected || endpoint.failuresInRow < needed) {
+    if (ejected || endpoint.failureRate < m_limits.failureRateToEject) {
         return;
     }
     const double allowed = std::floor(m_limits.maxEjectedShare * static_cast<double>(m_endpoints.size()));
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -171,7 +171,8 @@
     Choice choice(ZoneId("a"), RegionId("near"), {});
     choice.setCandidates(sixEndpoints(), Start);
     const EndpointId id("a1");
-    for (int i = 0; i < 5; ++i) {
+    for (int i = 0; i < 4; ++i) {
+        EXPECT_EQ(choice.ejectedCount(Start), 0U);
         choice.ended(id, AttemptEvidence::Failure, Start);
     }
     EXPECT_EQ(choice.ejectedCount(Start + 900ms), 1U);
@@ -180,6 +181,17 @@
     EXPECT_EQ(choice.ejectedCount(Start + 2900ms), 1U);
 }
 
+TEST(ChoiceTest, endpointThatFailsEveryOtherTimeIsEjected)
+{
+    Choice choice(ZoneId("a"), RegionId("near"), {});
+    choice.setCandidates(sixEndpoints(), Start);
+    for (int i = 0; i < 20; ++i) {
+        choice.ended(EndpointId("a1"), i % 2 == 0 ? AttemptEvidence::Success : AttemptEvidence::Failure, Start);
+        choice.ended(EndpointId("a2"), i % 10 == 0 ? AttemptEvidence::Failure : AttemptEvidence::Success, Start);
+    }
+    EXPECT_EQ(choice.ejectedCount(Start), 1U);
+}
+
 TEST(ChoiceTest, restartedEndpointStartsSlowly)
 {
     Choice choice(ZoneId("a"), RegionId("near"), {});
