--- a/utils/standins/caller.cpp
+++ b/utils/standins/caller.cpp
@@ -147,10 +147,13 @@
     {
         m_begin = SteadyClock::now();
         while (m_records.size() < m_settings.count) {
-            startDue();
             int running = 0;
             curl_multi_perform(m_multi, &running);
             collect();
+            // What starts here begins before the wait, so that a freed place is never left empty.
+            if (startDue()) {
+                continue;
+            }
             curl_multi_poll(m_multi, nullptr, 0, pollMilliseconds(), nullptr);
         }
         return std::move(m_records);
@@ -173,12 +176,15 @@
         return paced ? 1 : IdleMilliseconds;
     }
 
-    void startDue()
+    /// True when it started any.
+    bool startDue()
     {
         const std::uint64_t due = dueCount();
+        const std::uint64_t before = m_started;
         while (m_started < due && m_open.size() < m_settings.concurrency) {
             start();
         }
+        return m_started > before;
     }
 
     void start()
