--- a/lib/command/fleetstatus.cpp
+++ b/lib/command/fleetstatus.cpp
@@ -163,6 +163,11 @@
         return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
     });
     fleet.nodes = numberAt(answer, "nodes");
+    if (!answer.contains("nodes")) {
+        for (const ZoneStatus &zone : fleet.zones) {
+            fleet.nodes += zone.nodes;
+        }
+    }
     return fleet;
 }
 
--- a/lib/config/ticket.cpp
+++ b/lib/config/ticket.cpp
@@ -1,6 +1,8 @@
 // The fold of a ticket into a state: whole or not at all.
 #include "jasminemast/config/ticket.h"
 
+#include <algorithm>
+
 namespace jasminemast
 {
 
@@ -15,13 +17,42 @@
 template<class Map, class Section>
 void foldSection(Map &objects, const Section &section)
 {
+    if (section.empty()) {
+        return;
+    }
+    auto &edited = objects.edit();
     for (const auto &[id, object] : section) {
         if (!object) {
-            objects.erase(id);
+            edited.erase(id);
             continue;
         }
-        using Object = typename Map::mapped_type::element_type;
-        objects[id] = std::make_shared<Object>(*object);
+        using Object = std::remove_const_t<typename Map::mapped_type::element_type>;
+        auto sealed = std::make_shared<Object>(*object);
+        sealed->digest = objectDigest(*sealed);
+        edited.insert_or_assign(id, std::move(sealed));
+    }
+}
+
+template<class Section>
+bool removesAny(const Section &section)
+{
+    return std::any_of(section.begin(), section.end(), [](const auto &item) { return !item.second; });
+}
+
+/// Checks the references that \p ticket can have broken; those of the state before it are whole.
+void checkTouchedReferences(const State &after, const Ticket &ticket)
+{
+    if (removesAny(ticket.services) || removesAny(ticket.endpoints)) {
+        checkReferences(after);
+        return;
+    }
+    for (const auto &[id, route] : ticket.routes) {
+        if (route) {
+            checkReferences(after, *route);
+        }
+    }
+    for (const auto &[id, service] : ticket.services) {
+        checkReferences(after, *service);
     }
 }
 
@@ -34,8 +65,11 @@
     if (after.endpoints.size() + after.services.size() + after.routes.size() > TicketLimits::MaxObjects) {
         fail(ResultCode::TicketTooManyObjects, "", "more than " + std::to_string(TicketLimits::MaxObjects));
     }
-    checkReferences(after);
+    checkTouchedReferences(after, ticket);
     after.stateDigest = computeStateDigest(after);
+    if (!ticket.routes.empty()) {
+        after.routeIndex = std::make_shared<const RouteIndex>(after);
+    }
     return after;
 }
 
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -2,6 +2,7 @@
 #include "jasminemast/settings/nodesettings.h"
 
 #include "jasminemast/settings/controlsettings.h"
+#include "jasminemast/settings/jsonreader.h"
 #include "jasminemast/settings/settingsjson.h"
 
 #include <fstream>
--- a/unittests/command/fleetstatustest.cpp
+++ b/unittests/command/fleetstatustest.cpp
@@ -64,6 +64,13 @@
     EXPECT_NO_THROW(formatFleet(parseFleetStatus(nlohmann::json::parse(R"({"zones": [1, {}, {"laggards": 3}]})"))));
 }
 
+TEST(FleetStatus, NodesAreCountedWhenTheAnswerDoesNotSay)
+{
+    nlohmann::json answer = sample();
+    answer.erase("nodes");
+    EXPECT_EQ(parseFleetStatus(answer).nodes, 9U);
+}
+
 TEST(FleetStatus, AnswerWithoutZonesIsRefused)
 {
     for (const char *answer : {"{}", "[]", "7", R"({"zones": {}})"}) {
