--- a/include/jasminemast/command/fleetstatus.h
+++ b/include/jasminemast/command/fleetstatus.h
@@ -18,10 +18,10 @@
     RegionId region;
     ZoneId zone;
     bool known = false; ///< false: out of reach, or not heard of lately; the rest is then what was last known
-    std::uint64_t nodes = 0;
+    std::uint64_t nodes = 0; ///< live ones
     std::uint64_t inForce = 0; ///< nodes that run the ticket \p number
-    TicketNumber number;
-    std::string digest;
+    TicketNumber number; ///< the highest that a node of the zone runs
+    std::string digest; ///< of the state
     std::vector<HostId> laggards; ///< some of the hosts that do not run \p number yet
     Milliseconds age {0}; ///< of this knowledge
 };
--- a/lib/command/fleetstatus.cpp
+++ b/lib/command/fleetstatus.cpp
@@ -30,15 +30,31 @@
     return found != object.end() && found->is_number_unsigned() ? found->get<std::uint64_t>() : 0;
 }
 
+constexpr std::array FigureKeys = {"liveHosts", "reportingHosts", "highest", "divergentHosts"};
+
 bool hasFigures(const nlohmann::json &object)
 {
-    constexpr std::array Keys = {"nodes", "inForce", "number"};
-    return std::all_of(Keys.begin(), Keys.end(), [&object](const char *key) {
+    return std::all_of(FigureKeys.begin(), FigureKeys.end(), [&object](const char *key) {
         const auto found = object.find(key);
         return found != object.end() && found->is_number_unsigned();
     });
 }
 
+std::vector<HostId> laggardsIn(const nlohmann::json &object)
+{
+    std::vector<HostId> laggards;
+    const auto items = object.find("laggards");
+    if (items == object.end() || !items->is_array()) {
+        return laggards;
+    }
+    for (const auto &item : *items) {
+        if (item.is_object()) {
+            laggards.emplace_back(textAt(item, "host"));
+        }
+    }
+    return laggards;
+}
+
 ZoneStatus parseZone(const nlohmann::json &object)
 {
     ZoneStatus zone;
@@ -46,20 +62,14 @@
     zone.zone = ZoneId(textAt(object, "zone"));
     const auto known = object.find("known");
     zone.known = hasFigures(object) && known != object.end() && known->is_boolean() && known->get<bool>();
-    zone.nodes = numberAt(object, "nodes");
-    zone.inForce = numberAt(object, "inForce");
-    zone.number = TicketNumber(numberAt(object, "number"));
-    zone.digest = textAt(object, "digest");
+    zone.nodes = numberAt(object, "liveHosts");
+    zone.number = TicketNumber(numberAt(object, "highest"));
+    zone.digest = textAt(object, "stateDigest");
     zone.age = Milliseconds(static_cast<Milliseconds::rep>(numberAt(object, "ageMs")));
-    const auto laggards = object.find("laggards");
-    if (laggards == object.end() || !laggards->is_array()) {
-        return zone;
-    }
-    for (const auto &host : *laggards) {
-        if (host.is_string()) {
-            zone.laggards.emplace_back(host.get<std::string>());
-        }
-    }
+    zone.laggards = laggardsIn(object);
+    const std::uint64_t behind = zone.laggards.size() + numberAt(object, "divergentHosts");
+    const std::uint64_t reporting = numberAt(object, "reportingHosts");
+    zone.inForce = reporting > behind ? reporting - behind : 0;
     return zone;
 }
 
@@ -162,11 +172,8 @@
     std::sort(fleet.zones.begin(), fleet.zones.end(), [](const ZoneStatus &left, const ZoneStatus &right) {
         return std::tie(left.region, left.zone) < std::tie(right.region, right.zone);
     });
-    fleet.nodes = numberAt(answer, "nodes");
-    if (!answer.contains("nodes")) {
-        for (const ZoneStatus &zone : fleet.zones) {
-            fleet.nodes += zone.nodes;
-        }
+    for (const ZoneStatus &zone : fleet.zones) {
+        fleet.nodes += zone.nodes;
     }
     return fleet;
 }
