[net] answer whole bodies in one piece and watch for closing callers lazily

Cause: strace of the entry node showed 7 epoll_wait, 4 epoll_ctl and 3 sendto a call; two epoll_ctl came from the watch for a closing caller that every suspended request started, and the head went out apart from the body. Ruled out: libmicrohttpd's own suspend and resume, which cannot be avoided with this interface. Change: the answer starts at the end of the loop iteration, so an answer that is whole by then goes out from one buffer; the watch for a closing caller starts 20 to 40 ms after the request was handed over.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -73,6 +73,9 @@
     enum class BodyState { None, Open, Finished, Aborted };
 
     void suspend();
+    /// Starts watching for the caller's close once the request has been waiting for a while.
+    void watchForClose();
+    void startBody(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
     void resume();
     void onReadableWhileSuspended();
     void queueResponse(unsigned status, const HttpHeaders &headers, MHD_Response *response);
@@ -87,6 +90,9 @@
     bool m_dispatched = false;
     bool m_suspended = false;
     bool m_responded = false;
+    bool m_bodyPending = false; ///< beginBody() was called; the answer starts later in this loop iteration
+    bool m_bodyStarted = false; ///< the answer with its body was given to libmicrohttpd
+    bool m_closeWatchDue = false; ///< was already waiting at the last sweep for closes
     BodyState m_bodyState = BodyState::None;
     std::string m_body; ///< bytes that are still to be sent, from m_bodyOffset on
     std::size_t m_bodyOffset = 0;
@@ -131,6 +137,8 @@
     friend struct HttpServerCallbacks;
 
     void scheduleRun();
+    void scheduleCloseWatch();
+    void watchForCloses();
     void run();
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
     void refuse(HttpExchange &exchange);
@@ -142,6 +150,7 @@
     RefusalHandler m_onRefusal;
     MHD_Daemon *m_daemon = nullptr;
     IoWatcher m_watcher;
+    Timer m_closeWatchTimer; ///< sweeps over the suspended requests
     Timer m_timer;
     bool m_runScheduled = false;
     bool m_quiesced = false;
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -19,6 +19,7 @@
 {
 
 constexpr std::size_t BodyBlockBytes = 32 << 10;
+constexpr Milliseconds CloseWatchDelay {20};
 constexpr std::size_t ConnectionMemoryBytes = 64 << 10;
 
 /// Body bytes beyond the limit that are still read, so that the caller sees its refusal; after them it is cut off.
@@ -158,7 +159,21 @@
 void HttpExchange::suspend()
 {
     m_suspended = true;
+    m_closeWatchDue = false;
     MHD_suspend_connection(m_connection);
+    m_server.scheduleCloseWatch();
+}
+
+void HttpExchange::watchForClose()
+{
+    if (!m_suspended || m_connection == nullptr) {
+        return;
+    }
+    // Most answers come before the second sweep, and then the watch was never needed.
+    if (!std::exchange(m_closeWatchDue, true)) {
+        m_server.scheduleCloseWatch();
+        return;
+    }
     const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     if (info != nullptr) {
         m_closeWatcher.start(info->connect_fd, EV_READ);
@@ -215,8 +230,25 @@
         status = StatusBadGateway;
     }
     m_bodyState = BodyState::Open;
-    MHD_Response *response = MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), BodyBlockBytes,
-                                                               &HttpServerCallbacks::readBody, this, nullptr);
+    m_responded = true;
+    m_bodyPending = true;
+    m_server.m_loop.post(
+        [self = shared_from_this(), status, headers, length] { self->startBody(status, headers, length); });
+}
+
+void HttpExchange::startBody(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
+{
+    if (m_connection == nullptr || m_bodyStarted) {
+        return;
+    }
+    m_bodyStarted = true;
+    const bool lengthKnown = length.has_value() || m_request.method != "HEAD";
+    const bool whole
+        = m_bodyState == BodyState::Finished && lengthKnown && length.value_or(m_body.size()) == m_body.size();
+    MHD_Response *response = whole
+        ? MHD_create_response_from_buffer(m_body.size(), m_body.data(), MHD_RESPMEM_MUST_COPY)
+        : MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), BodyBlockBytes,
+                                            &HttpServerCallbacks::readBody, this, nullptr);
     queueResponse(status, headers, response);
 }
 
@@ -241,7 +273,9 @@
         return;
     }
     m_body.append(bytes);
-    resume();
+    if (m_bodyStarted) {
+        resume();
+    }
 }
 
 void HttpExchange::finish()
@@ -249,7 +283,9 @@
     if (m_bodyState == BodyState::Open) {
         m_bodyState = BodyState::Finished;
     }
-    resume();
+    if (m_bodyStarted) {
+        resume();
+    }
 }
 
 void HttpExchange::abort()
@@ -257,10 +293,10 @@
     if (m_connection == nullptr) {
         return;
     }
-    if (!m_responded) {
-        beginBody(StatusBadGateway, {}, std::nullopt);
-    }
     m_bodyState = BodyState::Aborted;
+    if (!m_responded || (m_bodyPending && !m_bodyStarted)) {
+        startBody(StatusBadGateway, {}, std::nullopt);
+    }
     const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     ::shutdown(info->connect_fd, SHUT_RDWR);
     resume();
@@ -314,6 +350,7 @@
     , m_handler(std::move(handler))
     , m_onRefusal(std::move(onRefusal))
     , m_watcher(loop, [this](int) { run(); })
+    , m_closeWatchTimer(loop, [this] { watchForCloses(); })
     , m_timer(loop, [this] { run(); })
 {
     const sockaddr_in system = toSystemAddress(local);
@@ -356,6 +393,20 @@
     }
 }
 
+void HttpServer::scheduleCloseWatch()
+{
+    if (!m_closeWatchTimer.isActive()) {
+        m_closeWatchTimer.start(CloseWatchDelay);
+    }
+}
+
+void HttpServer::watchForCloses()
+{
+    for (const auto &[connection, exchange] : m_open) {
+        exchange->watchForClose();
+    }
+}
+
 void HttpServer::scheduleRun()
 {
     if (m_runScheduled) {
