[config,command] add ticket check and ticket checkpoint

'ticket check' folds a file on the state of a node (POST /v1/tickets/check) or on a directory of tickets, and shows verdict, difference and new findings.

--- a/include/jasminemast/command/command.h
+++ b/include/jasminemast/command/command.h
@@ -28,6 +28,8 @@
 int runNode(const std::vector<std::string> &arguments);
 int runStatus(const std::vector<std::string> &arguments);
 int runLogbook(const std::vector<std::string> &arguments);
+int runTicketCheck(const std::vector<std::string> &arguments);
+int runTicketCheckpoint(const std::vector<std::string> &arguments);
 int runSettingsCheck(const std::vector<std::string> &arguments);
 int runVersion(const std::vector<std::string> &arguments);
 
--- a/include/jasminemast/command/operatorclient.h
+++ b/include/jasminemast/command/operatorclient.h
@@ -12,4 +12,7 @@
 /// \throws ResultError with NodeUnreachable or NodeAnswerInvalid.
 nlohmann::json fetchFromNode(const std::string &node, const std::string &path);
 
+/// The same for a request that carries \p body.
+nlohmann::json postToNode(const std::string &node, const std::string &path, const std::string &body);
+
 } // namespace jasminemast
--- a/include/jasminemast/config/log.h
+++ b/include/jasminemast/config/log.h
@@ -129,7 +129,7 @@
     OfferResult offerTicket(TicketNumber number, std::string bytes, WallTimePoint now);
 
     /// Takes a state from a peer or a checkpoint, with the verdicts that led to it. The caller has checked the state's
-    /// own digest. \p entries of the result are the tickets that could be folded on top.
+    /// own digest. Tickets that could be folded on top are appended to \p entries.
     SnapshotOffer offerSnapshot(const StatePtr &state, const std::vector<LogEntry> &history, WallTimePoint now,
                                 std::vector<LogEntry> *entries = nullptr);
 
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -10,7 +10,7 @@
 namespace jasminemast
 {
 
-/// Answers /v1/status, /v1/tickets, /v1/ready and /metrics.
+/// Answers /v1/status, /v1/tickets, /v1/tickets/check, /v1/checkpoint, /v1/ready and /metrics.
 class OperatorApi
 {
 public:
@@ -23,6 +23,8 @@
     [[nodiscard]] std::string statusJson() const;
     [[nodiscard]] std::string fleetJson() const;
     [[nodiscard]] std::string logbookJson() const;
+    [[nodiscard]] std::string checkJson(const std::string &ticket) const;
+    [[nodiscard]] std::string checkpointJson() const;
 
     const Clock &m_clock;
     const NodeSettings &m_settings;
--- a/lib/command/operatorclient.cpp
+++ b/lib/command/operatorclient.cpp
@@ -27,11 +27,15 @@
     return size * count;
 }
 
-} // namespace
+using EasyHandle = std::unique_ptr<CURL, decltype(&curl_easy_cleanup)>;
 
-nlohmann::json fetchFromNode(const std::string &node, const std::string &path)
+EasyHandle makeEasy()
+{
+    return {curl_easy_init(), &curl_easy_cleanup};
+}
+
+nlohmann::json perform(const EasyHandle &easy, const std::string &node, const std::string &path)
 {
-    const std::unique_ptr<CURL, decltype(&curl_easy_cleanup)> easy(curl_easy_init(), &curl_easy_cleanup);
     const std::string url = "http://" + node + path;
     std::string body;
     curl_easy_setopt(easy.get(), CURLOPT_URL, url.c_str());
@@ -53,4 +57,19 @@
     return json;
 }
 
+} // namespace
+
+nlohmann::json fetchFromNode(const std::string &node, const std::string &path)
+{
+    return perform(makeEasy(), node, path);
+}
+
+nlohmann::json postToNode(const std::string &node, const std::string &path, const std::string &body)
+{
+    const EasyHandle easy = makeEasy();
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDSIZE, static_cast<long>(body.size()));
+    curl_easy_setopt(easy.get(), CURLOPT_POSTFIELDS, body.data());
+    return perform(easy, node, path);
+}
+
 } // namespace jasminemast
--- a/lib/config/log.cpp
+++ b/lib/config/log.cpp
@@ -289,7 +289,7 @@
     std::vector<LogEntry> folded;
     foldComplete(now, folded);
     if (entries != nullptr) {
-        *entries = std::move(folded);
+        entries->insert(entries->end(), folded.begin(), folded.end());
     }
     return SnapshotOffer::Adopted;
 }
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -1,6 +1,8 @@
 // Read-back for operators.
 #include "jasminemast/node/operatorapi.h"
 
+#include "jasminemast/config/checkpoint.h"
+#include "jasminemast/config/ticketcheck.h"
 #include "jasminemast/node/fleetstatus.h"
 
 #include <nlohmann/json.hpp>
@@ -41,6 +43,10 @@
         exchange->respond(StatusOk, JsonHeaders, fleet ? fleetJson() : statusJson());
     } else if (path == "/v1/tickets") {
         exchange->respond(StatusOk, JsonHeaders, logbookJson());
+    } else if (path == "/v1/tickets/check") {
+        exchange->respond(StatusOk, JsonHeaders, checkJson(exchange->request().body));
+    } else if (path == "/v1/checkpoint") {
+        exchange->respond(StatusOk, JsonHeaders, checkpointJson());
     } else if (path == "/v1/ready") {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
@@ -69,6 +75,21 @@
     return json.dump() + "\n";
 }
 
+std::string OperatorApi::checkJson(const std::string &ticket) const
+{
+    return ticketCheckJson(checkTicket(m_control.current(), ticket)).dump() + "\n";
+}
+
+std::string OperatorApi::checkpointJson() const
+{
+    const auto &entries = m_control.log().logbook().entries();
+    auto json = nlohmann::json::array();
+    for (CheckpointValue &value : makeCheckpoint(*m_control.current(), {entries.begin(), entries.end()})) {
+        json.push_back({{"key", std::move(value.key)}, {"value", std::move(value.value)}});
+    }
+    return json.dump() + "\n";
+}
+
 std::string OperatorApi::fleetJson() const
 {
     auto json = nlohmann::json::parse(statusJson());
--- a/unittests/config/difftest.cpp
+++ b/unittests/config/difftest.cpp
@@ -1,5 +1,6 @@
 // The difference a ticket makes, and the findings shown with it.
 #include "jasminemast/config/diff.h"
+#include "jasminemast/config/ticketcheck.h"
 #include "ticketchain.h"
 
 #include <gmock/gmock.h>
@@ -63,3 +64,22 @@
         EXPECT_EQ(findOddities(*chain.fold(2)), row.findings) << row.sections;
     }
 }
+
+TEST(TicketCheckTest, tellsVerdictDifferenceAndNewFindings)
+{
+    TicketChain chain;
+    chain.add(Base);
+    const StatePtr state = chain.fold(1);
+    const std::string good = ticketText(2, chain.head().digest, R"(,"services":{"t":{"endpoints":[]}})");
+    const nlohmann::json check = ticketCheckJson(checkTicket(state, good));
+    EXPECT_EQ(check.at("number"), 2);
+    EXPECT_EQ(check.at("digest"), sha256(good).hex());
+    EXPECT_EQ(check.at("code"), 0);
+    EXPECT_EQ(check.at("changes").size(), 1U);
+    EXPECT_EQ(check.at("oddities"), nlohmann::json({"service t has no endpoint that takes calls"}));
+
+    const nlohmann::json refused = ticketCheckJson(checkTicket(state, ticketText(3, chain.head().digest)));
+    EXPECT_EQ(refused.at("code"), number(ResultCode::TicketWrongNumber));
+    EXPECT_EQ(refused.at("stateDigest"), state->stateDigest.hex());
+    EXPECT_TRUE(refused.at("changes").empty());
+}
--- a/unittests/config/logtest.cpp
+++ b/unittests/config/logtest.cpp
@@ -290,6 +290,19 @@
     EXPECT_EQ(log.logbook().find(TicketNumber(2))->inForceAt, Now);
 }
 
+TEST(LogTest, ticketsOnTopOfASnapshotAreAppendedToTheEntries)
+{
+    const TicketChain chain(4);
+    TicketLog log;
+    log.offerHead(chain.head(4));
+    log.offerTicket(TicketNumber(4), chain.bytes(4), Now);
+    std::vector<LogEntry> entries(1);
+    EXPECT_EQ(log.offerSnapshot(chain.fold(3), {}, Now, &entries), SnapshotOffer::Adopted);
+    ASSERT_EQ(entries.size(), 2U);
+    EXPECT_EQ(entries[1].head, chain.head(4));
+    EXPECT_EQ(log.applied(), chain.head(4));
+}
+
 TEST(LogTest, divergedPeerIsCounted)
 {
     const TicketChain chain(3);
