[node,config] answer, not throw, when no checkpoint can be made

A checkpoint of the state before the first ticket could not be read back, and an exception in the operator interface would have ended the node. It is refused with CheckpointIncomplete, and the page answers 503 with code and detail.

--- a/include/jasminemast/config/checkpoint.h
+++ b/include/jasminemast/config/checkpoint.h
@@ -48,7 +48,7 @@
 std::string checkpointPartKey(TicketNumber number, std::size_t part);
 
 /// The values for \p state, in the order in which they are to be published: the parts, then the manifest.
-/// \throws ResultError with SnapshotTooLarge.
+/// \throws ResultError with SnapshotTooLarge, or CheckpointIncomplete before the first ticket.
 std::vector<CheckpointValue> makeCheckpoint(const State &state, const std::vector<LogEntry> &history);
 
 /// \throws ResultError with CheckpointMalformed.
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -24,6 +24,7 @@
     [[nodiscard]] std::string fleetJson() const;
     [[nodiscard]] std::string logbookJson() const;
     [[nodiscard]] std::string checkJson(const std::string &ticket) const;
+    void respondCheckpoint(HttpExchange &exchange) const;
     [[nodiscard]] std::string checkpointJson() const;
 
     const Clock &m_clock;
--- a/lib/config/checkpoint.cpp
+++ b/lib/config/checkpoint.cpp
@@ -116,6 +116,9 @@
 
 std::vector<CheckpointValue> makeCheckpoint(const State &state, const std::vector<LogEntry> &history)
 {
+    if (state.number == TicketNumber(0)) {
+        throw ResultError(ResultCode::CheckpointIncomplete, "no ticket has been applied");
+    }
     const std::string bytes = encodeSnapshot(state, history);
     CheckpointManifest manifest;
     manifest.head = {state.number, state.ticketDigest};
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -46,7 +46,7 @@
     } else if (path == "/v1/tickets/check") {
         exchange->respond(StatusOk, JsonHeaders, checkJson(exchange->request().body));
     } else if (path == "/v1/checkpoint") {
-        exchange->respond(StatusOk, JsonHeaders, checkpointJson());
+        respondCheckpoint(*exchange);
     } else if (path == "/v1/ready") {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
@@ -80,6 +80,16 @@
     return ticketCheckJson(checkTicket(m_control.current(), ticket)).dump() + "\n";
 }
 
+void OperatorApi::respondCheckpoint(HttpExchange &exchange) const
+{
+    try {
+        exchange.respond(StatusOk, JsonHeaders, checkpointJson());
+    } catch (const ResultError &error) {
+        const nlohmann::json json = {{"code", number(error.code())}, {"detail", error.detail()}};
+        exchange.respond(StatusUnavailable, JsonHeaders, json.dump() + "\n");
+    }
+}
+
 std::string OperatorApi::checkpointJson() const
 {
     const auto &entries = m_control.log().logbook().entries();
--- a/unittests/config/snapshottest.cpp
+++ b/unittests/config/snapshottest.cpp
@@ -266,6 +266,11 @@
     }
 }
 
+TEST(CheckpointTest, stateBeforeTheFirstTicketMakesNone)
+{
+    EXPECT_EQ(codeOf([] { makeCheckpoint(*emptyState(), {}); }), ResultCode::CheckpointIncomplete);
+}
+
 TEST(Base64Test, roundTripAndOtherText)
 {
     for (const std::string text : {"", "a", "ab", "abc", "abcd"}) {
