--- a/include/jasminemast/member/zonereports.h
+++ b/include/jasminemast/member/zonereports.h
@@ -33,7 +33,7 @@
     /// Forgets hosts that are not in \p hosts.
     void retain(const std::set<HostId> &hosts);
     /// Summarises the live hosts \p live; reports older than \p maxAge do not count.
-    [[nodiscard]] ZoneSummary summarise(const ZoneId &zone, const HostId &reporter, const std::vector<HostId> &live,
+    [[nodiscard]] ZoneSummary summarise(const ZoneId &zone, const std::vector<HostId> &live,
                                         const std::vector<HostId> &dead, Milliseconds maxAge, TimePoint now) const;
 
 private:
--- a/include/jasminemast/member/zonetable.h
+++ b/include/jasminemast/member/zonetable.h
@@ -29,13 +29,12 @@
     static constexpr std::size_t MaxDead = 256;
 
     ZoneId zone;
-    HostId reporter;
-    std::uint32_t liveHosts = 0;
-    std::uint32_t reportingHosts = 0; ///< of the live hosts, those whose number is known
+    std::uint16_t liveHosts = 0;
+    std::uint16_t reportingHosts = 0; ///< of the live hosts, those whose number is known
     TicketNumber lowest; ///< lowest applied number among the reporting hosts
     TicketNumber highest;
-    Digest stateDigest; ///< state of the nodes that run the highest number
-    std::uint32_t divergentHosts = 0; ///< nodes that run the highest number with another state digest
+    std::uint64_t stateDigestPrefix = 0; ///< start of the digest of the state that goes with the highest number
+    std::uint16_t divergentHosts = 0; ///< nodes that run the highest number with another state digest
     std::vector<Laggard> laggards; ///< at most MaxLaggards
     std::vector<HostId> dead; ///< at most MaxDead
     Milliseconds age {0}; ///< since the reporter made it
@@ -58,8 +57,8 @@
     [[nodiscard]] std::optional<ZoneSummary> fresh(const ZoneId &zone, TimePoint now) const;
     /// The zone's last summary with its present age, however old.
     [[nodiscard]] std::optional<ZoneSummary> last(const ZoneId &zone, TimePoint now) const;
-    /// The next fresh summary to pass on, one zone after the other.
-    std::optional<ZoneSummary> takeNext(TimePoint now);
+    /// Fresh summaries to pass on, at most \p limit, one zone after the other.
+    std::vector<ZoneSummary> takeNext(std::size_t limit, TimePoint now);
 
 private:
     struct Known
--- a/include/jasminemast/spread/settings.h
+++ b/include/jasminemast/spread/settings.h
@@ -25,7 +25,7 @@
     Milliseconds antiEntropyInterval {1000};
     unsigned outsideShare = 10; ///< one exchange in this many goes to another zone
     Milliseconds reportInterval {3000}; ///< between reports of the own version to the zone's readers
-    Milliseconds summaryStaleAfter {10000}; ///< age at which another zone reads as unknown
+    Milliseconds summaryStaleAfter {15000}; ///< age at which another zone reads as unknown
     Milliseconds joinWait {3000}; ///< upper bound of waiting for peers and service before serving
     unsigned joinPeers = 3; ///< peers asked for their head while joining
     Milliseconds pauseThreshold {2000}; ///< gap in the monotonic clock that counts as a pause
--- a/lib/member/zonereports.cpp
+++ b/lib/member/zonereports.cpp
@@ -6,6 +6,20 @@
 namespace jasminemast
 {
 
+namespace
+{
+
+std::uint64_t digestPrefix(const Digest &digest)
+{
+    std::uint64_t prefix = 0;
+    for (std::size_t i = 0; i < sizeof(prefix); ++i) {
+        prefix = prefix << 8U | digest.bytes[i];
+    }
+    return prefix;
+}
+
+} // namespace
+
 void ZoneReports::learn(const HostId &host, const AppliedVersion &version, TimePoint now)
 {
     m_reports.insert_or_assign(host, Report {version, now});
@@ -16,13 +30,12 @@
     std::erase_if(m_reports, [&hosts](const auto &entry) { return !hosts.contains(entry.first); });
 }
 
-ZoneSummary ZoneReports::summarise(const ZoneId &zone, const HostId &reporter, const std::vector<HostId> &live,
-                                   const std::vector<HostId> &dead, Milliseconds maxAge, TimePoint now) const
+ZoneSummary ZoneReports::summarise(const ZoneId &zone, const std::vector<HostId> &live, const std::vector<HostId> &dead,
+                                   Milliseconds maxAge, TimePoint now) const
 {
     ZoneSummary summary;
     summary.zone = zone;
-    summary.reporter = reporter;
-    summary.liveHosts = static_cast<std::uint32_t>(live.size());
+    summary.liveHosts = static_cast<std::uint16_t>(live.size());
     summary.dead.assign(dead.begin(), dead.begin() + std::min(dead.size(), ZoneSummary::MaxDead));
 
     std::map<HostId, AppliedVersion> fresh;
@@ -33,7 +46,7 @@
         }
         fresh.emplace(host, report->second.version);
     }
-    summary.reportingHosts = static_cast<std::uint32_t>(fresh.size());
+    summary.reportingHosts = static_cast<std::uint16_t>(fresh.size());
     if (fresh.empty()) {
         return summary;
     }
@@ -43,7 +56,7 @@
     summary.lowest = std::min_element(fresh.begin(), fresh.end(), byNumber)->second.number;
     const auto &newest = std::max_element(fresh.begin(), fresh.end(), byNumber)->second;
     summary.highest = newest.number;
-    summary.stateDigest = newest.stateDigest;
+    summary.stateDigestPrefix = digestPrefix(newest.stateDigest);
     for (const auto &[host, version] : fresh) {
         if (version.number == newest.number) {
             summary.divergentHosts += version.stateDigest == newest.stateDigest ? 0 : 1;
--- a/lib/member/zonetable.cpp
+++ b/lib/member/zonetable.cpp
@@ -34,19 +34,20 @@
     return summary;
 }
 
-std::optional<ZoneSummary> ZoneTable::takeNext(TimePoint now)
+std::vector<ZoneSummary> ZoneTable::takeNext(std::size_t limit, TimePoint now)
 {
-    for (std::size_t tried = 0; tried < m_zones.size(); ++tried) {
+    std::vector<ZoneSummary> taken;
+    for (std::size_t tried = 0; tried < m_zones.size() && taken.size() < limit; ++tried) {
         auto next = m_zones.upper_bound(m_lastTaken);
         if (next == m_zones.end()) {
             next = m_zones.begin();
         }
         m_lastTaken = next->first;
         if (auto summary = fresh(next->first, now)) {
-            return summary;
+            taken.push_back(std::move(*summary));
         }
     }
-    return std::nullopt;
+    return taken;
 }
 
 } // namespace jasminemast
--- a/lib/node/fleetstatus.cpp
+++ b/lib/node/fleetstatus.cpp
@@ -1,22 +1,31 @@
 // Renders zone summaries as JSON.
 #include "jasminemast/node/fleetstatus.h"
 
+#include <iomanip>
+#include <sstream>
+
 namespace jasminemast
 {
 
 namespace
 {
 
+std::string hexOf(std::uint64_t value)
+{
+    std::ostringstream text;
+    text << std::hex << std::setw(16) << std::setfill('0') << value;
+    return text.str();
+}
+
 nlohmann::json summaryJson(const ZoneSummary &summary)
 {
     nlohmann::json json;
     json["ageMs"] = summary.age.count();
-    json["reporter"] = summary.reporter.value();
     json["liveHosts"] = summary.liveHosts;
     json["reportingHosts"] = summary.reportingHosts;
     json["lowest"] = summary.lowest.value();
     json["highest"] = summary.highest.value();
-    json["stateDigest"] = summary.stateDigest.hex();
+    json["stateDigestPrefix"] = hexOf(summary.stateDigestPrefix);
     json["divergentHosts"] = summary.divergentHosts;
     json["laggards"] = nlohmann::json::array();
     for (const Laggard &laggard : summary.laggards) {
--- a/lib/spread/messages.cpp
+++ b/lib/spread/messages.cpp
@@ -61,9 +61,8 @@
 void carrySummary(Archive &archive, ZoneSummary &summary)
 {
     wire::name(archive, summary.zone);
-    wire::name(archive, summary.reporter);
-    archive(summary.liveHosts, summary.reportingHosts, summary.lowest, summary.highest, summary.stateDigest);
-    archive(summary.divergentHosts);
+    archive(summary.liveHosts, summary.reportingHosts, summary.divergentHosts);
+    archive(summary.lowest, summary.highest, summary.stateDigestPrefix);
     wire::list(archive, summary.laggards, ZoneSummary::MaxLaggards, [](auto &inner, Laggard &laggard) {
         wire::name(inner, laggard.host);
         inner(laggard.number);
--- a/lib/spread/spreadcore.cpp
+++ b/lib/spread/spreadcore.cpp
@@ -328,7 +328,7 @@
     ZoneReports reports = m_reports;
     reports.learn(m_self.host, sender(now).applied, now);
     const auto maxAge = 3 * m_settings.reportInterval;
-    return reports.summarise(m_self.zone, m_self.host, live, m_membership.deadPeers(), maxAge, now);
+    return reports.summarise(m_self.zone, live, m_membership.deadPeers(), maxAge, now);
 }
 
 std::optional<ZoneSummary> SpreadCore::zone(const ZoneId &zone, TimePoint now) const
--- a/lib/spread/spreadgossip.cpp
+++ b/lib/spread/spreadgossip.cpp
@@ -10,6 +10,8 @@
 {
 
 constexpr std::size_t RumoursPerMessage = 6;
+constexpr std::size_t SummariesPerMessage
+    = ControlMessage::MaxSummaries - 1; ///< passed on, besides that of the own zone
 constexpr std::size_t RegionAnnouncers = 2; ///< nodes of a region that tell the other regions
 
 /// Moves one element drawn at random to the end of \p hosts and returns it.
@@ -36,9 +38,9 @@
     if (withSummary && m_watch.isReader()) {
         message.summaries.push_back(ownZone(now));
     }
-    if (withSummary && ownZoneReceiver) {
-        if (auto summary = m_zoneTable.takeNext(now)) {
-            message.summaries.push_back(std::move(*summary));
+    if (withSummary) {
+        for (auto &summary : m_zoneTable.takeNext(SummariesPerMessage, now)) {
+            message.summaries.push_back(std::move(summary));
         }
     }
     m_actions.emplace_back(SendMessage {to, std::move(message)});
@@ -48,8 +50,8 @@
 {
     const auto &from = message.sender.host;
     if (const auto *ping = std::get_if<Ping>(&message.body)) {
-        const bool reader = m_watch.isReader() && !m_topology.sameZone(from);
-        send(from, Ack {ping->sequence, ping->onBehalfOf}, now, reader);
+        const bool betweenReaders = m_watch.isReader() && message.sender.reader;
+        send(from, Ack {ping->sequence, ping->onBehalfOf}, now, betweenReaders);
         return;
     }
     if (const auto *request = std::get_if<PingRequest>(&message.body)) {
--- a/lib/spread/wire.h
+++ b/lib/spread/wire.h
@@ -14,11 +14,11 @@
 
 constexpr std::size_t MaxNameLength = 64;
 
-/// Carries a length of at most \p most.
-template<class Archive>
+/// Carries a length of at most \p most as a \p Wire.
+template<class Wire, class Archive>
 std::size_t boundedLength(Archive &archive, std::size_t length, std::size_t most)
 {
-    auto wireLength = static_cast<std::uint32_t>(length);
+    auto wireLength = static_cast<Wire>(length);
     archive(wireLength);
     if (wireLength > most) {
         throw std::length_error("length over its bound");
@@ -29,7 +29,7 @@
 template<class Archive>
 void text(Archive &archive, std::string &value, std::size_t most)
 {
-    const auto length = boundedLength(archive, value.size(), most);
+    const auto length = boundedLength<std::uint32_t>(archive, value.size(), most);
     if constexpr (Archive::is_loading::value) {
         value.resize(length);
     }
@@ -57,7 +57,7 @@
 template<class Archive, class Element, class Carry>
 void list(Archive &archive, std::vector<Element> &elements, std::size_t most, Carry element)
 {
-    const auto length = boundedLength(archive, elements.size(), most);
+    const auto length = boundedLength<std::uint16_t>(archive, elements.size(), most);
     if constexpr (Archive::is_loading::value) {
         elements.clear();
         elements.reserve(std::min<std::size_t>(length, 64));
--- a/unittests/member/membershiptest.cpp
+++ b/unittests/member/membershiptest.cpp
@@ -176,7 +176,7 @@
     clock.advance(Milliseconds(1'000));
     EXPECT_FALSE(view.fresh(ZoneId("z1"), clock.now()));
     EXPECT_TRUE(view.last(ZoneId("z1"), clock.now()));
-    EXPECT_FALSE(view.takeNext(clock.now()));
+    EXPECT_TRUE(view.takeNext(8, clock.now()).empty());
 }
 
 TEST(ZoneTable, anOlderSummaryThatArrivesLateIsDropped)
--- a/unittests/spread/messagestest.cpp
+++ b/unittests/spread/messagestest.cpp
@@ -31,7 +31,6 @@
     message.rumours = {{HostId("h2"), Incarnation(5), 1, Liveness::Dead}};
     ZoneSummary summary;
     summary.zone = ZoneId("z1");
-    summary.reporter = HostId("h3");
     summary.liveHosts = 40;
     summary.laggards = {{HostId("h9"), TicketNumber(6)}};
     summary.dead = {HostId("h4"), HostId("h5")};
--- a/unittests/spread/quiettest.cpp
+++ b/unittests/spread/quiettest.cpp
@@ -1,5 +1,5 @@
 // Spreading when nothing fails: promptness, the call limit, the region rule, readiness.
-#include "fakefleet.h"
+#include "faultcase.h"
 
 #include <gtest/gtest.h>
 
@@ -19,3 +19,38 @@
         EXPECT_EQ(fleet.core(node).readiness(), Readiness::Ready);
     }
 }
+
+TEST(QuietFleet, controlTrafficStaysUnderAKilobyteASecondANode)
+{
+    constexpr std::uint64_t BytesASecond = 1000;
+    constexpr std::uint64_t Seconds = 60;
+    for (const auto &settings : profiles()) {
+        FakeFleet fleet({.nodesPerZone = 40, .settings = settings});
+        fleet.accept();
+        fleet.run(Milliseconds(20'000));
+        const auto before = fleet.bytes();
+        fleet.run(std::chrono::seconds(Seconds));
+        const auto &after = fleet.bytes();
+        const auto sent
+            = after.inZone + after.betweenZones + after.paid - before.inZone - before.betweenZones - before.paid;
+        EXPECT_LT(sent / Seconds / fleet.size(), BytesASecond);
+        RecordProperty("bytes_a_second_a_node", static_cast<int>(sent / Seconds / fleet.size()));
+    }
+}
+
+TEST(QuietFleet, everyNodeKnowsEveryZone)
+{
+    for (const auto &settings : profiles()) {
+        FakeFleet fleet({.nodesPerZone = 40, .settings = settings});
+        const auto number = fleet.accept();
+        fleet.run(Milliseconds(30'000));
+        for (const auto node : fleet.liveNodes()) {
+            for (const auto &zone : fleet.core(node).topology().hostList().zones()) {
+                ASSERT_TRUE(fleet.core(node).zoneKnown(zone, fleet.now())) << zone << " at " << fleet.hostOf(node);
+                const auto summary = fleet.core(node).zone(zone, fleet.now());
+                EXPECT_EQ(summary->lowest, number) << zone << " at " << fleet.hostOf(node);
+                EXPECT_EQ(summary->liveHosts, 40U);
+            }
+        }
+    }
+}
