--- a/unittests/config/snapshottest.cpp
+++ b/unittests/config/snapshottest.cpp
@@ -165,6 +165,8 @@
          ResultCode::SnapshotMalformed},
         {"other state digest", repack([&](std::string &plain) { plain[stateDigestAt] ^= 1; }),
          ResultCode::SnapshotWrongDigest},
+        {"truth value of 9", repack([](std::string &plain) { plain[plain.find("h1") + 2 + 2 + 4] = 9; }),
+         ResultCode::SnapshotMalformed},
         {"other object", repack([](std::string &plain) { plain[plain.find("h1")] = 'H'; }),
          ResultCode::SnapshotWrongDigest},
     };
@@ -176,7 +178,7 @@
 TEST(SnapshotTest, statesThatBreakAReferenceAreRefused)
 {
     State state = *fullChain().fold(3);
-    state.endpoints.erase(EndpointId("f"));
+    state.endpoints.edit().erase(EndpointId("f"));
     state.stateDigest = computeStateDigest(state);
     EXPECT_EQ(codeOf([&state] { decodeSnapshot(encodeSnapshot(state, {})); }), ResultCode::SnapshotMalformed);
 }
