[utils] bring about curl's own repetition in the caller's test

The test before used a fresh connection pool in its second half, so it passed with the guard off. Now the target begins to close in the middle of one run: it fails with the guard off (one call ran twice) and passes with it.

--- a/unittests/utils/targettest.cpp
+++ b/unittests/utils/targettest.cpp
@@ -67,15 +67,24 @@
     EXPECT_EQ(countRuns(RunEnd::Answered) + shed, 12U);
 }
 
-TEST_F(TargetTest, closingAfterTheRunNeverMakesTheCallerRepeatAPost)
+TEST_F(TargetTest, closingAKeptConnectionAfterTheRunNeverMakesTheCallerRepeatAPost)
 {
-    CallerSettings settings = callerFor(6, 1);
+    constexpr std::size_t CallsBeforeFault = 6;
+    // curl would repeat by itself on a connection that has already carried an answer.
+    Timer fault(m_loop, [this, &fault] {
+        if (m_target.ledger().runs().size() >= CallsBeforeFault) {
+            m_target.setMode(TargetMode::CloseAfterRun);
+            return;
+        }
+        fault.start(Milliseconds(1));
+    });
+    fault.start(Milliseconds(1));
+    CallerSettings settings = callerFor(2 * CallsBeforeFault, 1);
     settings.postShare = 1;
-    // The first calls leave a kept connection behind, on which curl would repeat by itself.
-    EXPECT_EQ(countOutcomes(call(settings), CallOutcome::Whole), 6U);
-    m_target.setMode(TargetMode::CloseAfterRun);
-    EXPECT_EQ(countOutcomes(call(settings), CallOutcome::Broken), 6U);
-    EXPECT_EQ(countRuns(RunEnd::Unanswered), 6U);
+    const std::vector<CallRecord> records = call(settings);
+    EXPECT_GT(countOutcomes(records, CallOutcome::Whole), 0U);
+    EXPECT_GT(countOutcomes(records, CallOutcome::Broken), 0U);
+    EXPECT_EQ(m_target.ledger().runs().size(), records.size());
 }
 
 TEST_F(TargetTest, recordsACancelledRunWhenItsClientLeaves)
