--- a/include/jasminemast/command/fleetstatus.h
+++ b/include/jasminemast/command/fleetstatus.h
@@ -21,7 +21,7 @@
     std::uint64_t nodes = 0; ///< live ones
     std::uint64_t inForce = 0; ///< nodes that run the ticket \p number
     TicketNumber number; ///< the highest that a node of the zone runs
-    std::string digest; ///< of the state
+    std::string digest; ///< start of the state's
     std::vector<HostId> laggards; ///< some of the hosts that do not run \p number yet
     Milliseconds age {0}; ///< of this knowledge
 };
--- a/lib/command/fleetstatus.cpp
+++ b/lib/command/fleetstatus.cpp
@@ -64,7 +64,7 @@
     zone.known = hasFigures(object) && known != object.end() && known->is_boolean() && known->get<bool>();
     zone.nodes = numberAt(object, "liveHosts");
     zone.number = TicketNumber(numberAt(object, "highest"));
-    zone.digest = textAt(object, "stateDigest");
+    zone.digest = textAt(object, "stateDigestPrefix");
     zone.age = Milliseconds(static_cast<Milliseconds::rep>(numberAt(object, "ageMs")));
     zone.laggards = laggardsIn(object);
     const std::uint64_t behind = zone.laggards.size() + numberAt(object, "divergentHosts");
--- a/unittests/command/fleetstatustest.cpp
+++ b/unittests/command/fleetstatustest.cpp
@@ -15,12 +15,12 @@
 
 const char *Sample = R"({"host": "h1", "zones": [
     {"zone": "z2", "region": "south", "liveHosts": 3, "reportingHosts": 3, "highest": 7, "divergentHosts": 0,
-     "stateDigest": "aabbccddee", "laggards": [], "ageMs": 1200, "known": true},
+     "stateDigestPrefix": "aabbccddee", "laggards": [], "ageMs": 1200, "known": true},
     {"zone": "z1", "region": "north", "liveHosts": 4, "reportingHosts": 4, "highest": 7, "divergentHosts": 0,
-     "stateDigest": "aabbccddee", "laggards": [{"host": "h3", "number": 6}, {"host": "h4", "number": 5}], "ageMs": 0,
+     "stateDigestPrefix": "aabbccddee", "laggards": [{"host": "h3", "number": 6}, {"host": "h4", "number": 5}], "ageMs": 0,
      "known": true},
     {"zone": "z3", "region": "south", "liveHosts": 2, "reportingHosts": 2, "highest": 7, "divergentHosts": 0,
-     "stateDigest": "aabbccddee", "laggards": [], "ageMs": 61000, "known": false}]})";
+     "stateDigestPrefix": "aabbccddee", "laggards": [], "ageMs": 61000, "known": false}]})";
 
 nlohmann::json sample()
 {
