--- a/utils/bench/choicebench.cpp
+++ b/utils/bench/choicebench.cpp
@@ -26,7 +26,6 @@
 constexpr double DeadlineMs = 200;
 constexpr double NetworkMs = 0.5;
 constexpr std::size_t Calls = 200'000;
-constexpr std::uint32_t MaxAttempts = 4;
 
 enum class Policy { TwoChoices, Random, RoundRobin };
 
