--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -1,6 +1,10 @@
 // Read-back for operators.
 #include "jasminemast/node/operatorapi.h"
 
+#include "jasminemast/config/checkpoint.h"
+#include "jasminemast/config/ticketcheck.h"
+#include "jasminemast/node/fleetstatus.h"
+
 #include <nlohmann/json.hpp>
 
 namespace jasminemast
@@ -17,9 +21,10 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const NodeSettings &settings, const DirectControl &control, Metrics &metrics,
-                         std::function<void()> updateGauges)
-    : m_settings(settings)
+OperatorApi::OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+                         Metrics &metrics, std::function<void()> updateGauges)
+    : m_clock(clock)
+    , m_settings(settings)
     , m_control(control)
     , m_metrics(metrics)
     , m_updateGauges(std::move(updateGauges))
@@ -34,9 +39,14 @@
 {
     const std::string_view path = exchange->request().path();
     if (path == "/v1/status") {
-        exchange->respond(StatusOk, JsonHeaders, statusJson());
+        const bool fleet = exchange->request().query("scope") == "fleet";
+        exchange->respond(StatusOk, JsonHeaders, fleet ? fleetJson() : statusJson());
     } else if (path == "/v1/tickets") {
         exchange->respond(StatusOk, JsonHeaders, logbookJson());
+    } else if (path == "/v1/tickets/check") {
+        exchange->respond(StatusOk, JsonHeaders, checkJson(exchange->request().body));
+    } else if (path == "/v1/checkpoint") {
+        respondCheckpoint(*exchange);
     } else if (path == "/v1/ready") {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
@@ -59,16 +69,51 @@
     json["ticketDigest"] = state->ticketDigest.hex();
     json["stateDigest"] = state->stateDigest.hex();
     json["ready"] = m_control.isReady();
+    json["degraded"] = m_control.readiness() == Readiness::Degraded;
+    json["acceptedNumber"] = m_control.log().target().number.value();
+    json["reader"] = m_control.core().isReader();
+    return json.dump() + "\n";
+}
+
+std::string OperatorApi::checkJson(const std::string &ticket) const
+{
+    return ticketCheckJson(checkTicket(m_control.current(), ticket)).dump() + "\n";
+}
+
+void OperatorApi::respondCheckpoint(HttpExchange &exchange) const
+{
+    try {
+        exchange.respond(StatusOk, JsonHeaders, checkpointJson());
+    } catch (const ResultError &error) {
+        const nlohmann::json json = {{"code", number(error.code())}, {"detail", error.detail()}};
+        exchange.respond(StatusUnavailable, JsonHeaders, json.dump() + "\n");
+    }
+}
+
+std::string OperatorApi::checkpointJson() const
+{
+    const auto &entries = m_control.log().logbook().entries();
+    auto json = nlohmann::json::array();
+    for (CheckpointValue &value : makeCheckpoint(*m_control.current(), {entries.begin(), entries.end()})) {
+        json.push_back({{"key", std::move(value.key)}, {"value", std::move(value.value)}});
+    }
+    return json.dump() + "\n";
+}
+
+std::string OperatorApi::fleetJson() const
+{
+    auto json = nlohmann::json::parse(statusJson());
+    json["zones"] = fleetZones(m_control.core(), m_clock.now());
     return json.dump() + "\n";
 }
 
 std::string OperatorApi::logbookJson() const
 {
     auto json = nlohmann::json::array();
-    for (const LogbookEntry &entry : m_control.logbook()) {
+    for (const LogEntry &entry : m_control.logbook().entries()) {
         nlohmann::json item;
-        item["number"] = entry.number.value();
-        item["digest"] = entry.digest.hex();
+        item["number"] = entry.head.number.value();
+        item["digest"] = entry.head.digest.hex();
         item["verdict"] = entry.code == ResultCode::Ok ? "accepted" : "refused";
         item["code"] = number(entry.code);
         item["detail"] = entry.detail;
