--- a/lib/support/digest.cpp
+++ b/lib/support/digest.cpp
@@ -66,10 +66,10 @@
 Digest sha256(std::string_view data)
 {
     // Looking the algorithm up and making a context cost more than digesting a small object, so both are kept.
-    static const EVP_MD *const Algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
+    static const EVP_MD *const algorithm = EVP_MD_fetch(nullptr, "SHA256", nullptr);
     thread_local const ContextPtr context(EVP_MD_CTX_new(), &EVP_MD_CTX_free);
     Digest digest;
-    const bool isDone = EVP_DigestInit_ex2(context.get(), Algorithm, nullptr) == 1
+    const bool isDone = EVP_DigestInit_ex2(context.get(), algorithm, nullptr) == 1
         && EVP_DigestUpdate(context.get(), data.data(), data.size()) == 1
         && EVP_DigestFinal_ex(context.get(), digest.bytes.data(), nullptr) == 1;
     if (!isDone) {
--- a/utils/bench/configbench.cpp
+++ b/utils/bench/configbench.cpp
@@ -35,6 +35,19 @@
     return R"({"number":)" + std::to_string(number) + R"(,"previous":")" + previous.hex() + "\"" + sections + "}";
 }
 
+/// A route for reading and one for orders, both to service \p name.
+std::string routePairText(const std::string &name)
+{
+    std::string text = "\"" + name;
+    text += R"(-read":{"pathPrefix":"/v1/)" + name;
+    text += R"(/","service":")" + name;
+    text += R"("},")" + name;
+    text += R"(-write":{"pathPrefix":"/v1/)" + name;
+    text += R"(/orders/","service":")" + name;
+    text += R"(","methods":["POST"]})";
+    return text;
+}
+
 /// A state of \p endpoints endpoints, twelve to a service, and two routes to a service.
 StatePtr makeState(std::size_t endpoints)
 {
@@ -52,9 +65,8 @@
             servicesText += (j == 0 ? "\"" : ",\"") + endpointId(i * EndpointsPerService + j) + "\"";
         }
         servicesText += "]}";
-        routesText += (i == 0 ? "\"" : ",\"") + name + R"(-read":{"pathPrefix":"/v1/)" + name + R"(/","service":")"
-            + name + R"("},")" + name + R"(-write":{"pathPrefix":"/v1/)" + name + R"(/orders/","service":")" + name
-            + R"(","methods":["POST"]})";
+        routesText += i == 0 ? "" : ",";
+        routesText += routePairText(name);
     }
     const Verdict verdict = applyTicket(emptyState(), TicketNumber(1),
                                         ticketText(1, Digest {},
--- a/utils/fuzz/ticketfuzzer.cpp
+++ b/utils/fuzz/ticketfuzzer.cpp
@@ -8,10 +8,10 @@
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t *data, std::size_t size) // NOLINT: name set by libFuzzer
 {
     const std::string_view bytes(reinterpret_cast<const char *>(data), size);
-    static const StatePtr Before = emptyState();
-    const Verdict verdict = applyTicket(Before, TicketNumber(1), bytes);
+    static const StatePtr before = emptyState();
+    const Verdict verdict = applyTicket(before, TicketNumber(1), bytes);
     peekPrevious(bytes);
-    if (verdict.code != ResultCode::Ok && verdict.state->stateDigest != Before->stateDigest) {
+    if (verdict.code != ResultCode::Ok && verdict.state->stateDigest != before->stateDigest) {
         std::abort(); // a refused ticket changed the state
     }
     checkReferences(*verdict.state);
