--- a/utils/drivers/measureconvergence.cpp
+++ b/utils/drivers/measureconvergence.cpp
@@ -79,6 +79,9 @@
     /// True for hosts that the fault keeps from hearing of the ticket until it heals.
     [[nodiscard]] bool affects(std::size_t host) const
     {
+        if (m_name == "source-down") {
+            return true;
+        }
         const HostPlan &place = m_fleet.topology().hosts[host];
         return m_hosts.contains(host) || (m_zone != 0 && m_fleet.topology().zoneOf(place).number == m_zone);
     }
