--- a/utils/harness/fleet.cpp
+++ b/utils/harness/fleet.cpp
@@ -94,7 +94,7 @@
 
 std::string Fleet::writeFile(const std::string &name, const nlohmann::json &content) const
 {
-    const std::string path = (m_folder / name).string();
+    std::string path = (m_folder / name).string();
     std::ofstream file(path);
     file << content.dump(2) << '\n';
     if (!file.flush()) {
--- a/utils/standins/caller.cpp
+++ b/utils/standins/caller.cpp
@@ -18,7 +18,7 @@
 
 using SteadyClock = std::chrono::steady_clock;
 
-constexpr std::size_t MaxKeptBytes = 64U * 1024; ///< bodies above this are only hashed
+constexpr std::size_t MaxKeptBytes = std::size_t {64} * 1024; ///< bodies above this are only hashed
 
 /// One call in flight.
 struct Transfer
--- a/utils/standins/configsource.cpp
+++ b/utils/standins/configsource.cpp
@@ -16,16 +16,16 @@
 
 void ConfigSource::handle(const HttpExchangePtr &exchange)
 {
-    static const std::string Prefix = "/v1/kv/";
+    static const std::string prefix = "/v1/kv/";
     const HttpRequest &request = exchange->request;
     if (m_watches.handleAdmin(exchange)) {
         return;
     }
-    if (!request.path.starts_with(Prefix) || request.path.size() == Prefix.size()) {
+    if (!request.path.starts_with(prefix) || request.path.size() == prefix.size()) {
         exchange->respond(textResponse(404, "no such page"));
         return;
     }
-    const std::string key = request.path.substr(Prefix.size());
+    const std::string key = request.path.substr(prefix.size());
     if (request.method == "GET") {
         m_watches.read(exchange, key, nullptr);
         return;
--- a/utils/standins/httpserver.cpp
+++ b/utils/standins/httpserver.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-constexpr std::size_t MaxBodyBytes = 64U * 1024 * 1024;
+constexpr std::size_t MaxBodyBytes = std::size_t {64} * 1024 * 1024;
 constexpr unsigned MaxConnections = 20'000;
 
 std::string toLower(std::string text)
@@ -275,7 +275,7 @@
         HttpResponse &answer = *exchange.m_response;
         MHD_Response *response = nullptr;
         if (answer.stream) {
-            constexpr std::size_t BlockBytes = 64U * 1024;
+            constexpr std::size_t BlockBytes = std::size_t {64} * 1024;
             const std::uint64_t bytes = answer.stream->bytes;
             StreamState *state = makeStreamState(exchange);
             exchange.m_finishStream = [state, bytes] {
--- a/utils/standins/httpserver.h
+++ b/utils/standins/httpserver.h
@@ -37,7 +37,7 @@
 struct HttpStream
 {
     std::uint64_t bytes = 0; ///< the whole length, sent as Content-Length
-    std::size_t pieceBytes = 64 * 1024;
+    std::size_t pieceBytes = std::size_t {64} * 1024;
     Milliseconds pieceDelay {0};
     std::function<void(std::uint64_t offset, char *buffer, std::size_t length)> fill;
 };
--- a/utils/standins/jsonhttp.cpp
+++ b/utils/standins/jsonhttp.cpp
@@ -18,7 +18,7 @@
 
 nlohmann::json parseObject(const std::string &body)
 {
-    const auto json = nlohmann::json::parse(body, nullptr, false);
+    auto json = nlohmann::json::parse(body, nullptr, false);
     if (!json.is_object()) {
         throw std::invalid_argument("the body is no JSON object");
     }
--- a/utils/standins/tcprelay.cpp
+++ b/utils/standins/tcprelay.cpp
@@ -16,8 +16,8 @@
 namespace
 {
 
-constexpr std::size_t ReadBytes = 64U * 1024;
-constexpr std::size_t MaxUnsentBytes = 8U * 1024 * 1024; ///< held for one direction before reading stops
+constexpr std::size_t ReadBytes = std::size_t {64} * 1024;
+constexpr std::size_t MaxUnsentBytes = std::size_t {8} * 1024 * 1024; ///< held for one direction before reading stops
 
 /// Closes with a reset, as a host does that knows nothing of the connection.
 void resetAndClose(int descriptor)
