--- a/utils/drivers/measurecontrol.cpp
+++ b/utils/drivers/measurecontrol.cpp
@@ -10,6 +10,24 @@
 
 using nlohmann::json;
 
+namespace
+{
+
+/// Bytes that the platform has sent over paid links.
+double paidFromPlatform(const json &link)
+{
+    constexpr unsigned PlatformZone = 15;
+    double sum = 0;
+    for (const json &pair : link.at("pairs")) {
+        if (pair.at("from") == PlatformZone && pair.at("paid") == true) {
+            sum += pair.at("tcpBytes").get<double>();
+        }
+    }
+    return sum;
+}
+
+} // namespace
+
 json measureControl(const MeasureSettings &settings, Fleet &fleet)
 {
     constexpr unsigned SettleSeconds = 3;
@@ -40,6 +58,8 @@
     const double nodeSeconds = static_cast<double>(settings.seconds) * static_cast<double>(ids.size());
     return {{"seconds", settings.seconds},
             {"paidBytesPerSecond", grown("paidBytes") / settings.seconds},
+            {"paidFromPlatformBytesPerSecond",
+             (paidFromPlatform(linkAfter) - paidFromPlatform(linkBefore)) / settings.seconds},
             {"zoneToZoneBytesPerSecond", grown("unpaidBytes") / settings.seconds},
             {"corePercentPerNode", 100 * processor / nodeSeconds},
             {"largestResidentBytes", largest},
