--- a/lib/member/zonereports.cpp
+++ b/lib/member/zonereports.cpp
@@ -36,7 +36,8 @@
     ZoneSummary summary;
     summary.zone = zone;
     summary.liveHosts = static_cast<std::uint16_t>(live.size());
-    summary.dead.assign(dead.begin(), dead.begin() + std::min(dead.size(), ZoneSummary::MaxDead));
+    summary.dead = dead;
+    summary.dead.resize(std::min(dead.size(), ZoneSummary::MaxDead));
 
     std::map<HostId, AppliedVersion> fresh;
     for (const auto &host : live) {
