[net] stop the HTTP server with a request just arrived; close connections while draining

Cause: callfaulttest.terminatedNodesCutNoCall failed now and then with a node ended by SIGABRT: libmicrohttpd aborts when it is stopped with a suspended request, and a request that arrived on a kept connection after the last run of the loop was suspended during the destructor's own run. Ruled out: SIGTERM before the handler stands (the signal was 6, not 15); the watchers now stand before any socket opens all the same. Change: while stopping, a new request ends its connection; while draining, each answer says Connection: close, so that callers stop reusing it. Before: HttpServerTest.StopsWithARequestJustArrived aborts in MHD_stop_daemon.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -153,7 +153,8 @@
     Timer m_closeWatchTimer; ///< sweeps over the suspended requests
     Timer m_timer;
     bool m_runScheduled = false;
-    bool m_quiesced = false;
+    bool m_quiesced = false; ///< takes no new connections and closes each after its answer
+    bool m_stopping = false; ///< being destroyed: libmicrohttpd may not stop with a suspended request
     std::map<MHD_Connection *, std::shared_ptr<HttpExchange>> m_open; ///< requests that libmicrohttpd still knows
 };
 
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -38,6 +38,9 @@
     Loop &m_loop;
     const Clock &m_clock;
     NodeSettings m_settings;
+    /// Before everything that accepts work, so that no signal can end the process with work accepted.
+    SignalWatcher m_terminate;
+    SignalWatcher m_interrupt;
     Incarnation m_incarnation;
     Random m_random;
     PauseGuard m_pauseGuard;
@@ -50,8 +53,6 @@
     EntrySide m_entry;
     HttpServer m_callerServer;
     OperatorApi m_operators;
-    SignalWatcher m_terminate;
-    SignalWatcher m_interrupt;
     Timer m_drainTimer;
     Timer m_pauseTimer;
     TimePoint m_drainBegan;
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -77,6 +77,9 @@
             *size = 0;
             return exchange->m_droppedBytes > MaxDroppedBytes ? MHD_NO : MHD_YES;
         }
+        if (exchange->m_server.m_stopping) {
+            return MHD_NO;
+        }
         if (!exchange->m_dispatched && exchange->m_refusal == ResultCode::Ok) {
             exchange->m_dispatched = true;
             exchange->suspend();
@@ -257,6 +260,9 @@
     for (const HttpHeader &header : headers) {
         MHD_add_response_header(response, header.name.c_str(), header.value.c_str());
     }
+    if (m_server.m_quiesced) {
+        MHD_add_response_header(response, "Connection", "close");
+    }
     m_responded = true;
     const MHD_Result queued = MHD_queue_response(m_connection, status, response);
     MHD_destroy_response(response);
@@ -372,6 +378,7 @@
 HttpServer::~HttpServer()
 {
     m_watcher.stop();
+    m_stopping = true;
     const auto open = m_open;
     for (const auto &[connection, exchange] : open) {
         exchange->m_onCancelled = nullptr;
--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -258,5 +258,31 @@
     EXPECT_TRUE(open->isOver());
 }
 
+TEST_F(HttpServerTest, StopsWithARequestJustArrived)
+{
+    startEcho();
+    TestPeer peer(m_address);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    runUntil(m_loop, [&] { return peer.write(request) > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("HTTP/1.1 200"); }));
+    ASSERT_EQ(peer.write(request), request.size());
+    m_server.reset();
+    EXPECT_EQ(m_handled, 1);
+}
+
+TEST_F(HttpServerTest, ClosesConnectionsAfterTheirAnswerOnceItStopsAccepting)
+{
+    std::shared_ptr<HttpExchange> waiting;
+    start([&waiting](const std::shared_ptr<HttpExchange> &exchange) { waiting = exchange; });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return waiting != nullptr; }));
+    m_server->stopAccepting();
+    waiting->respond(200, {}, "whole");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isOver(); }));
+    EXPECT_TRUE(peer.received("HTTP/1.1 200"));
+    EXPECT_NE(peer.read().find("Connection: close"), std::string::npos);
+}
+
 } // namespace
 } // namespace jasminemast
--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -240,7 +240,7 @@
         later(ReadyPollInterval, [this, host] { awaitRolled(host); });
         return;
     }
-    m_rolled.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -1);
+    m_rolled.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
     m_rolling.erase(host);
     startNode(host);
 }
