--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -6,6 +6,7 @@
 #include <nlohmann/json.hpp>
 
 #include <fcntl.h>
+#include <sys/prctl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -194,6 +195,8 @@
     const std::string log = (m_folder / (hostName(host) + ".log")).string();
     const pid_t child = ::fork();
     if (child == 0) {
+        // A test that is ended by force leaves no node behind.
+        ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         const int out = ::open(log.c_str(), O_CREAT | O_APPEND | O_WRONLY | O_CLOEXEC, 0600);
         ::dup2(out, STDERR_FILENO);
         ::execl(JASMINEMAST_BINARY, JASMINEMAST_BINARY, "node", flag.c_str(), "--logtostderr", nullptr);
