--- a/lib/spread/joinduty.cpp
+++ b/lib/spread/joinduty.cpp
@@ -49,9 +49,8 @@
         = std::all_of(m_asked.begin(), m_asked.end(), [this](const HostId &host) { return m_answered.contains(host); });
     const bool anyAnswer = m_sourceAnswered || !m_answered.empty();
     const bool waitOver = now - *m_startedAt >= m_settings.joinWait;
-    if (caughtUp && allAsked && m_sourceAnswered) {
-        m_readiness = Readiness::Ready;
-    } else if (caughtUp && anyAnswer && waitOver) {
+    const bool allAnswered = allAsked && m_sourceAnswered;
+    if (caughtUp && (allAnswered || (anyAnswer && waitOver))) {
         m_readiness = Readiness::Ready;
     } else if (waitOver) {
         m_readiness = Readiness::Degraded;
