[node] wait longer for the host list, so that quiet nodes save the paid links

Cause: every node polls the host list, and the platform answers with the whole list when the wait is over; with a wait of 10 s the bytes grow with the square of the fleet. Ruled out: ticket watches (their share is what is left). Change: a wait of 120 s; liveness comes from the zone anyway. At 1,300 nodes a list of 117 KB costs each node about 1 KB a second still; handing the list on inside a zone is the next step.

--- a/lib/node/sourcewatcher.cpp
+++ b/lib/node/sourcewatcher.cpp
@@ -9,8 +9,9 @@
 
 using std::chrono_literals::operator""ms;
 
-constexpr int WaitSeconds = 10;
-constexpr Milliseconds PollTimeout {15'000};
+/// The platform answers with the whole value when the wait is over, changed or not: long waits save its links.
+constexpr int WaitSeconds = 120;
+constexpr Milliseconds PollTimeout {125'000};
 constexpr Milliseconds RetryDelay {500};
 constexpr std::size_t MaxValueBytes = 1 << 20;
 constexpr unsigned StatusOk = 200;
--- a/lib/spread/joinduty.cpp
+++ b/lib/spread/joinduty.cpp
@@ -50,10 +50,11 @@
     const bool anyAnswer = m_sourceAnswered || !m_answered.empty();
     const bool waitOver = now - *m_startedAt >= m_settings.joinWait;
     const bool allAnswered = allAsked && m_sourceAnswered;
+    if (waitOver) {
+        m_readiness = Readiness::Degraded;
+    }
     if (caughtUp && (allAnswered || (anyAnswer && waitOver))) {
         m_readiness = Readiness::Ready;
-    } else if (waitOver) {
-        m_readiness = Readiness::Degraded;
     }
     return m_readiness;
 }
