[node] tick seldom while there is no call

Cause: with no calls a quiet node woke 230 times a second, 200 of them for the two 10 ms ticks of the call sides. Ruled out: the control task's own tick (20 a second). Change: without calls the call sides tick every 200 ms.

--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -83,6 +83,8 @@
     void followConfiguration();
     [[nodiscard]] std::vector<Candidate> candidatesOf(const State &state, const Service &service) const;
     void tick();
+    /// Ticks often while there is work and seldom otherwise.
+    void scheduleTick();
 
     EntryContext m_context;
     HostRecord m_self;
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -63,6 +63,8 @@
     void answerFence(const AttemptId &attempt, const FenceAnswer &answer, const std::shared_ptr<AnswerSink> &sink);
     void dropEnded(const AttemptId &attempt);
     void tick();
+    /// Ticks often while there is work and seldom otherwise.
+    void scheduleTick();
     void followConfiguration();
     void probeHealth();
     [[nodiscard]] std::string urlOf(const EndpointId &endpoint) const;
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -11,6 +11,7 @@
 {
 
 constexpr Milliseconds TickInterval {10};
+constexpr Milliseconds IdleTickInterval {200}; ///< while there is no work whose time could run out
 /// How often the host list is looked at while the ticket stays the same.
 constexpr Milliseconds FollowInterval {500};
 /// Least time between two diallings of one host.
@@ -88,7 +89,7 @@
 {
     // The target beside this node is reached without a link.
     m_core.onLinkUp(m_self.host, incarnation, m_context.clock.now());
-    m_tickTimer.startRepeating(TickInterval);
+    scheduleTick();
 }
 
 EntrySide::~EntrySide() = default;
@@ -136,6 +137,9 @@
     spec.deadline = std::min(deadline, arrived + route->timeout);
     const EntryCore::Begun begun = m_core.begin(spec, m_context.clock.now());
     m_calls.emplace(begun.call, std::make_unique<EntryCall>(exchange, state, route, arrived));
+    if (m_calls.size() == 1) {
+        scheduleTick();
+    }
     exchange->setCancelHandler([this, id = begun.call] { perform(m_core.onCallerGone(id, m_context.clock.now())); });
     perform(begun.actions);
 }
@@ -319,11 +323,17 @@
     m_core.setServices(std::move(services), now);
 }
 
+void EntrySide::scheduleTick()
+{
+    m_tickTimer.start(m_calls.empty() ? IdleTickInterval : TickInterval);
+}
+
 void EntrySide::tick()
 {
     followConfiguration();
     redial();
     perform(m_core.tick(m_context.clock.now()));
+    scheduleTick();
 }
 
 } // namespace jasminemast
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -14,6 +14,7 @@
 
 constexpr long MaxTargetConnections = 100;
 constexpr Milliseconds TickInterval {10};
+constexpr Milliseconds IdleTickInterval {200}; ///< while there is no work whose time could run out
 constexpr Milliseconds ProbeInterval {1'000};
 constexpr Milliseconds ProbeTimeout {800};
 constexpr std::size_t MaxHealthPageBytes = 4096;
@@ -68,7 +69,7 @@
     , m_tickTimer(loop, [this] { tick(); })
     , m_probeTimer(loop, [this] { probeHealth(); })
 {
-    m_tickTimer.startRepeating(TickInterval);
+    scheduleTick();
     m_probeTimer.startRepeating(ProbeInterval);
 }
 
@@ -83,6 +84,9 @@
     auto attempt = std::make_shared<TargetAttempt>(open, std::move(body), std::move(sink));
     // A second copy finds the first one here and does not displace it.
     m_attempts.emplace(open.attempt, attempt);
+    if (m_attempts.size() == 1) {
+        scheduleTick();
+    }
     perform(m_core.onOpen(request, now - arrived, now));
     dropEnded(open.attempt);
     return std::make_unique<TargetHandle>(*this, open.attempt);
@@ -209,10 +213,16 @@
     perform(m_core.setLeaving(DrainReason::Signal, true, m_clock.now()));
 }
 
+void TargetSide::scheduleTick()
+{
+    m_tickTimer.start(m_attempts.empty() ? IdleTickInterval : TickInterval);
+}
+
 void TargetSide::tick()
 {
     followConfiguration();
     perform(m_core.tick(m_clock.now()));
+    scheduleTick();
 }
 
 void TargetSide::followConfiguration()
--- a/utils/drivers/measurecommon.cpp
+++ b/utils/drivers/measurecommon.cpp
@@ -67,6 +67,22 @@
     return (user + system) / static_cast<double>(sysconf(_SC_CLK_TCK));
 }
 
+std::uint64_t loopbackBytes()
+{
+    std::ifstream file("/proc/net/dev");
+    std::string line;
+    while (std::getline(file, line)) {
+        std::istringstream fields(line);
+        std::string name;
+        std::uint64_t received = 0;
+        fields >> name >> received;
+        if (name == "lo:") {
+            return received;
+        }
+    }
+    throw std::runtime_error("no counters of the loopback interface");
+}
+
 std::uint64_t residentBytes(pid_t id)
 {
     std::ifstream file("/proc/" + std::to_string(id) + "/statm");
--- a/utils/drivers/measurecontrol.cpp
+++ b/utils/drivers/measurecontrol.cpp
@@ -42,10 +42,12 @@
         return sum;
     };
     const double processorBefore = processorTime();
+    const std::uint64_t loopbackBefore = loopbackBytes();
     const json linkBefore = fleet.zoneLinkBytes();
     const auto callsBefore = getJson(statistics).at("calls").get<std::uint64_t>();
     sleep(settings.seconds);
     const double processor = processorTime() - processorBefore;
+    const auto loopback = static_cast<double>(loopbackBytes() - loopbackBefore);
     const json linkAfter = fleet.zoneLinkBytes();
     const json source = getJson(statistics);
     std::uint64_t largest = 0;
@@ -62,6 +64,7 @@
              (paidFromPlatform(linkAfter) - paidFromPlatform(linkBefore)) / settings.seconds},
             {"zoneToZoneBytesPerSecond", grown("unpaidBytes") / settings.seconds},
             {"corePercentPerNode", 100 * processor / nodeSeconds},
+            {"loopbackBytesPerNodePerSecond", loopback / nodeSeconds},
             {"largestResidentBytes", largest},
             {"sourceCallsPerSecond",
              static_cast<double>(source.at("calls").get<std::uint64_t>() - callsBefore) / settings.seconds},
--- a/utils/drivers/measures.h
+++ b/utils/drivers/measures.h
@@ -40,6 +40,8 @@
 
 /// Processor seconds (user and system) that process \p id has used.
 double processorSeconds(pid_t id);
+/// Bytes that the loopback interface has carried since the machine started, headers included.
+std::uint64_t loopbackBytes();
 /// Resident memory of process \p id in bytes.
 std::uint64_t residentBytes(pid_t id);
 
