[node] roll a node of the test only once its last process is ready

Trace: with the machine loaded callfaulttest.terminatedNodesCutNoCall failed 3 times in 4 with status -15: SIGTERM met a process that had just been started and had not installed its handler, so it had accepted nothing and cut nothing. That case is allowed; the check of status 0 stays for every process that became ready.

--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -162,12 +162,17 @@
     return false;
 }
 
-bool Fleet::isReady(std::size_t host)
+HttpClientRequest Fleet::readyRequest(std::size_t host) const
 {
     HttpClientRequest request;
     request.url = "http://" + address(host) + ":" + std::to_string(OperatorPort) + "/v1/ready";
+    return request;
+}
+
+bool Fleet::isReady(std::size_t host)
+{
     bool ready = false;
-    m_client.fetch(std::move(request),
+    m_client.fetch(readyRequest(host),
                    [this, &ready](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
                        ready = status == StatusOk;
                        m_loop.stop();
@@ -244,8 +249,21 @@
         return;
     }
     m_rolled.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
-    m_rolling.erase(host);
     startNode(host);
+    awaitSuccessor(host);
+}
+
+void Fleet::awaitSuccessor(std::size_t host)
+{
+    const auto handler
+        = [this, host](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
+              if (status == StatusOk) {
+                  m_rolling.erase(host);
+                  return;
+              }
+              later(ReadyPollInterval, [this, host] { awaitSuccessor(host); });
+          };
+    m_client.fetch(readyRequest(host), handler);
 }
 
 int Fleet::waitForNode(std::size_t host)
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -92,6 +92,10 @@
     void startCall();
     void awaitRolled(std::size_t host);
     void later(Milliseconds delay, std::function<void()> work);
+    /// Ends the rolling of \p host once its new process is ready; before that SIGTERM may meet a process that has
+    /// not yet installed its handler and has accepted nothing.
+    void awaitSuccessor(std::size_t host);
+    [[nodiscard]] HttpClientRequest readyRequest(std::size_t host) const;
     bool isReady(std::size_t host);
 
     std::string m_network; ///< first three numbers of all addresses, unlike those of other test processes
@@ -104,7 +108,7 @@
     std::string m_hosts; ///< the host list
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<pid_t> m_nodes; ///< 0 while the node does not run
-    std::set<std::size_t> m_rolling; ///< nodes that were sent SIGTERM and have not ended
+    std::set<std::size_t> m_rolling; ///< nodes that were sent SIGTERM and whose next process is not ready
     std::vector<int> m_rolled;
     std::vector<std::unique_ptr<Timer>> m_timers;
     std::map<std::string, std::size_t> m_ledger; ///< how often targets ran each call
