[node] refuse platform answers without a valid index; read the host list at most every 2 s

Cause: an answer without X-Index was taken, and its watch began again at once; an index went unchecked into the next request. Also: a pause of 2 s between two host lists, so that a mass restart listed host by host costs a node at most one list in 2 s; the rate itself was not measured.

--- a/lib/node/configsource.cpp
+++ b/lib/node/configsource.cpp
@@ -1,6 +1,8 @@
 // Long polls and reads of the key-value service.
 #include "jasminemast/node/configsource.h"
 
+#include "jasminemast/node/platformindex.h"
+
 namespace jasminemast
 {
 
@@ -47,8 +49,8 @@
     if (m_watch) {
         m_watch->cancel();
     }
-    const std::string index = wait == Milliseconds(0) ? "0" : m_index;
-    auto request = readRequest(m_url + "accepted?index=" + index + "&wait=" + waitSeconds(wait), wait + ReadTimeout);
+    const std::string since = wait == Milliseconds(0) ? "0" : m_index;
+    auto request = readRequest(m_url + "accepted?index=" + since + "&wait=" + waitSeconds(wait), wait + ReadTimeout);
     m_watch = m_http.fetch(std::move(request),
                            [this, handler = std::move(handler)](const HttpClientResult &result, unsigned status,
                                                                 const HttpHeaders &headers, const std::string &body) {
@@ -57,9 +59,12 @@
                                    handler(ResultCode::SourceUnreachable, std::nullopt);
                                    return;
                                }
-                               if (const std::string *seen = findHeader(headers, "X-Index")) {
-                                   m_index = *seen;
+                               const auto index = platformIndex(headers);
+                               if (!index) {
+                                   handler(ResultCode::SourceAnswerMalformed, std::nullopt);
+                                   return;
                                }
+                               m_index = *index;
                                if (status == StatusNotFound) {
                                    handler(ResultCode::Ok, std::nullopt);
                                    return;
--- a/lib/node/sourcewatcher.cpp
+++ b/lib/node/sourcewatcher.cpp
@@ -1,6 +1,8 @@
 // The long poll of the platform's protocol.
 #include "jasminemast/node/sourcewatcher.h"
 
+#include "jasminemast/node/platformindex.h"
+
 namespace jasminemast
 {
 
@@ -13,6 +15,8 @@
 constexpr int WaitSeconds = 120;
 constexpr Milliseconds PollTimeout {125'000};
 constexpr Milliseconds RetryDelay {500};
+/// Many changes in a row, as when a zone restarts, are read in groups.
+constexpr Milliseconds PollPause {2'000};
 constexpr std::size_t MaxValueBytes = 1 << 20;
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
@@ -56,9 +60,11 @@
                              std::string_view body)
 {
     m_transfer = nullptr;
-    const std::string *index = findHeader(headers, "X-Index");
-    if (result.code != ResultCode::Ok || (status != StatusOk && status != StatusNotFound) || index == nullptr) {
-        m_handlers.onFailure(ResultCode::SourceUnreachable, result.detail);
+    const bool answered = result.code == ResultCode::Ok && (status == StatusOk || status == StatusNotFound);
+    const auto index = platformIndex(headers);
+    if (!answered || !index) {
+        m_handlers.onFailure(answered ? ResultCode::SourceAnswerMalformed : ResultCode::SourceUnreachable,
+                             result.detail);
         m_retryTimer.start(RetryDelay);
         return;
     }
@@ -67,7 +73,7 @@
     if (status == StatusOk && changed) {
         m_handlers.onValue(body);
     }
-    m_retryTimer.start(0ms);
+    m_retryTimer.start(PollPause);
 }
 
 } // namespace jasminemast
