[net] hold a link by one class in place of three copies

Cause: the streams of the call client, of the call server and of pulls each wrote the same hold and release. Change: LinkHold.

--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -1,28 +1,20 @@
 // Streams of attempts to other nodes.
 #include "jasminemast/node/callclient.h"
 
+#include "jasminemast/net/linkhold.h"
+
 namespace jasminemast
 {
 
 /// One attempt on another node. Holds its link while it exists.
-struct CallClient::Stream
+struct CallClient::Stream : LinkHold
 {
     Stream(std::shared_ptr<Link> on, std::shared_ptr<AnswerSink> to)
-        : link(std::move(on))
+        : LinkHold(std::move(on))
         , sink(std::move(to))
     {
-        link->hold();
     }
 
-    ~Stream()
-    {
-        link->release();
-    }
-
-    Stream(const Stream &) = delete;
-    Stream &operator=(const Stream &) = delete;
-
-    std::shared_ptr<Link> link;
     std::shared_ptr<AnswerSink> sink;
 };
 
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -1,29 +1,18 @@
 // Streams of attempts from other nodes.
 #include "jasminemast/node/callserver.h"
 
+#include "jasminemast/net/linkhold.h"
+
 #include <algorithm>
 
 namespace jasminemast
 {
 
 /// One attempt from another node. Holds its link while it exists.
-struct CallServer::Stream
+struct CallServer::Stream : LinkHold
 {
-    explicit Stream(std::shared_ptr<Link> on)
-        : link(std::move(on))
-    {
-        link->hold();
-    }
-
-    ~Stream()
-    {
-        link->release();
-    }
-
-    Stream(const Stream &) = delete;
-    Stream &operator=(const Stream &) = delete;
+    using LinkHold::LinkHold;
 
-    std::shared_ptr<Link> link;
     OpenMessage open;
     TimePoint arrived; ///< earliest time at which the message may have reached this host
     std::string body;
--- a/lib/node/pulllinks.cpp
+++ b/lib/node/pulllinks.cpp
@@ -1,6 +1,8 @@
 // Frames of pulls.
 #include "jasminemast/node/pulllinks.h"
 
+#include "jasminemast/net/linkhold.h"
+
 #include "jasminemast/support/archive.h"
 #include "jasminemast/support/result.h"
 
@@ -34,25 +36,15 @@
 } // namespace
 
 /// A pull or an answer under way. Holds its link while it exists.
-struct PullLinks::Held
+struct PullLinks::Held : LinkHold
 {
     Held(std::shared_ptr<Link> on, TimePoint until, bool isSnapshot)
-        : link(std::move(on))
+        : LinkHold(std::move(on))
         , deadline(until)
         , snapshot(isSnapshot)
     {
-        link->hold();
-    }
-
-    ~Held()
-    {
-        link->release();
     }
 
-    Held(const Held &) = delete;
-    Held &operator=(const Held &) = delete;
-
-    std::shared_ptr<Link> link;
     TimePoint deadline;
     bool snapshot = false;
 };
