[node] bound the test's wait for a rolled node's next process

Cause: a program replaced by a build while the test ran left a host without a process, and the test asked it for ever. Now such a host counts as failed.

--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -29,6 +29,7 @@
 constexpr std::size_t CallsAtOnce = 24;
 constexpr std::size_t AnswerPadding = 2'000;
 constexpr int ReadyPolls = 200;
+constexpr int NeverReady = -1000; ///< in place of an exit status: the next process did not become ready
 constexpr Milliseconds ReadyPollInterval {50};
 constexpr Milliseconds LongPollTime {5'000};
 constexpr std::uint64_t LongestWorkMs = 20;
@@ -250,18 +251,23 @@
     }
     m_rolled.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
     startNode(host);
-    awaitSuccessor(host);
+    awaitSuccessor(host, ReadyPolls);
 }
 
-void Fleet::awaitSuccessor(std::size_t host)
+void Fleet::awaitSuccessor(std::size_t host, int pollsLeft)
 {
+    if (pollsLeft == 0) {
+        m_rolled.push_back(NeverReady);
+        m_rolling.erase(host);
+        return;
+    }
     const auto handler
-        = [this, host](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
+        = [this, host, pollsLeft](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
               if (status == StatusOk) {
                   m_rolling.erase(host);
                   return;
               }
-              later(ReadyPollInterval, [this, host] { awaitSuccessor(host); });
+              later(ReadyPollInterval, [this, host, pollsLeft] { awaitSuccessor(host, pollsLeft - 1); });
           };
     m_client.fetch(readyRequest(host), handler);
 }
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -94,7 +94,7 @@
     void later(Milliseconds delay, std::function<void()> work);
     /// Ends the rolling of \p host once its new process is ready; before that SIGTERM may meet a process that has
     /// not yet installed its handler and has accepted nothing.
-    void awaitSuccessor(std::size_t host);
+    void awaitSuccessor(std::size_t host, int pollsLeft);
     [[nodiscard]] HttpClientRequest readyRequest(std::size_t host) const;
     bool isReady(std::size_t host);
 
