--- a/unittests/node/callfaulttest.cpp
+++ b/unittests/node/callfaulttest.cpp
@@ -40,6 +40,23 @@
         });
     }
 
+    /// Lets the node that was paused last go on and pauses that of \p host.
+    void pauseInsteadOfLast(std::size_t host)
+    {
+        if (m_paused != 0) {
+            m_fleet.signalNode(m_paused, SIGCONT);
+        }
+        m_fleet.signalNode(host, SIGSTOP);
+        m_paused = host;
+    }
+
+    void expectTruthAndTerminate()
+    {
+        EXPECT_EQ(m_fleet.violations(), NoViolation);
+        EXPECT_GT(m_fleet.answered(), Calls / 2);
+        terminateAll();
+    }
+
     void terminateAll()
     {
         // A node that has only just been started anew does not listen to the signal yet.
@@ -53,6 +70,7 @@
     }
 
     Fleet m_fleet {Hosts};
+    std::size_t m_paused = 0; ///< host whose node is paused; 0: none
 };
 
 } // namespace
@@ -60,42 +78,24 @@
 TEST_F(CallFaultTest, killedNodesDoubleNothingAndTellNoLie)
 {
     callWithFaults([this](std::size_t host) { m_fleet.replaceNode(host); });
-    EXPECT_EQ(m_fleet.violations(), NoViolation);
-    EXPECT_GT(m_fleet.answered(), Calls / 2);
-    terminateAll();
+    expectTruthAndTerminate();
 }
 
 TEST_F(CallFaultTest, pausedNodesDoubleNothingAndTellNoLie)
 {
-    std::size_t paused = 0;
-    callWithFaults([&](std::size_t host) {
-        if (paused != 0) {
-            m_fleet.signalNode(paused, SIGCONT);
-        }
-        m_fleet.signalNode(host, SIGSTOP);
-        paused = host;
-    });
-    m_fleet.signalNode(paused, SIGCONT);
-    EXPECT_EQ(m_fleet.violations(), NoViolation);
-    EXPECT_GT(m_fleet.answered(), Calls / 2);
-    terminateAll();
+    callWithFaults([this](std::size_t host) { pauseInsteadOfLast(host); });
+    m_fleet.signalNode(m_paused, SIGCONT);
+    expectTruthAndTerminate();
 }
 
 TEST_F(CallFaultTest, pauseAndKillTogether)
 {
-    std::size_t paused = 0;
-    callWithFaults([&](std::size_t host) {
-        if (paused != 0) {
-            m_fleet.signalNode(paused, SIGCONT);
-        }
-        m_fleet.signalNode(host, SIGSTOP);
-        paused = host;
+    callWithFaults([this](std::size_t host) {
+        pauseInsteadOfLast(host);
         m_fleet.replaceNode(1 + host % (Hosts - 1));
     });
-    m_fleet.signalNode(paused, SIGCONT);
-    EXPECT_EQ(m_fleet.violations(), NoViolation);
-    EXPECT_GT(m_fleet.answered(), Calls / 2);
-    terminateAll();
+    m_fleet.signalNode(m_paused, SIGCONT);
+    expectTruthAndTerminate();
 }
 
 TEST_F(CallFaultTest, terminatedNodesCutNoCall)
