--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -37,6 +37,7 @@
     ServiceId service;
     bool repeatable = false;
     TimePoint deadline;
+    std::uint32_t attempts = 0; ///< most targets that may get the call; 0: the node's default
 };
 
 /// What is to be done for the calls of an entry node.
@@ -105,6 +106,8 @@
     EntryActions onFenceReplied(const AttemptId &attempt, FenceStatus status, TimePoint now);
     /// The first byte of the answer is about to be passed on; afterwards the call cannot be tried again.
     EntryActions onAnswerBegan(const AttemptId &attempt, TimePoint now);
+    /// The answer that begins is a failure of the target. Afterwards awaits() tells whether it is to be passed on.
+    EntryActions onAnswerFailed(const AttemptId &attempt, TimePoint now);
     EntryActions onAnswerEnded(const AttemptId &attempt, TimePoint now);
     /// Any reply brought back the load of the attempt's endpoint.
     void onLoad(const AttemptId &attempt, double load, TimePoint now);
@@ -134,6 +137,7 @@
         bool fenceWaits = false; ///< a fence is to be sent once a newer link is up
         TimePoint chosenAt;
         bool open = false; ///< counted as in flight at its endpoint
+        bool failed = false; ///< the answer being passed on is a failure of the target
     };
     struct Call
     {
--- a/include/jasminemast/call/outcome.h
+++ b/include/jasminemast/call/outcome.h
@@ -46,6 +46,11 @@
 {
     std::uint32_t attempt;
 };
+/// The target answered with a failure of its own, which may be tried elsewhere or passed on.
+struct AnswerFailed
+{
+    std::uint32_t attempt;
+};
 /// The answer is whole.
 struct AnswerEnded
 {
@@ -81,8 +86,8 @@
 } // namespace callevent
 
 using CallEvent = std::variant<callevent::EndpointChosen, callevent::NoneUsable, callevent::NotSent, callevent::Refused,
-                               callevent::Lost, callevent::AnswerBegan, callevent::AnswerEnded, callevent::LinkLost,
-                               callevent::LinkBack, callevent::PeerDead, callevent::FenceReplied,
+                               callevent::Lost, callevent::AnswerBegan, callevent::AnswerFailed, callevent::AnswerEnded,
+                               callevent::LinkLost, callevent::LinkBack, callevent::PeerDead, callevent::FenceReplied,
                                callevent::DeadlinePassed, callevent::CallerLeft>;
 
 /// What is to be done for a call.
@@ -126,7 +131,8 @@
 class CallMachine
 {
 public:
-    CallMachine(bool repeatable, TimePoint deadline);
+    /// \p attemptsAllowed: most targets that may get the call; 0: as the retry budget says.
+    CallMachine(bool repeatable, TimePoint deadline, std::uint32_t attemptsAllowed = 0);
 
     /// The first action of a new call.
     CallActions start();
@@ -160,6 +166,7 @@
     CallActions on(const callevent::Refused &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::Lost &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::AnswerBegan &event, RetryBudget &budget, TimePoint now);
+    CallActions on(const callevent::AnswerFailed &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::AnswerEnded &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::LinkLost &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::LinkBack &event, RetryBudget &budget, TimePoint now);
@@ -169,6 +176,7 @@
     CallActions on(const callevent::CallerLeft &event, RetryBudget &budget, TimePoint now);
 
     [[nodiscard]] bool awaits(std::uint32_t attempt) const;
+    [[nodiscard]] RetryBudget::Request retryRequest(bool mayRepeat, ResultCode code) const;
     CallActions retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now);
     [[nodiscard]] Outcome unanswered() const;
     CallActions abandon(ResultCode code);
@@ -176,6 +184,8 @@
 
     bool m_repeatable;
     TimePoint m_deadline;
+    std::uint32_t m_attemptsAllowed; ///< 0: as the retry budget says
+    std::uint32_t m_refusals = 0; ///< attempts that ended before the target saw them
     Phase m_phase = Phase::Choosing;
     bool m_mayHaveRun = false; ///< an earlier attempt of an idempotent call ended without a known fate
     std::uint32_t m_attempt = 0; ///< number of the latest attempt; 0 before the first
--- a/include/jasminemast/call/retry.h
+++ b/include/jasminemast/call/retry.h
@@ -16,6 +16,8 @@
     double maxTokens = 100; ///< largest burst of retries
     double initialTokens = 10;
     std::uint32_t maxAttempts = 4; ///< of one call, the first included
+    /// Refusals by nodes that cost a call neither attempt nor budget: the target saw nothing of them.
+    std::uint32_t freeRefusals = 0;
     Duration minRemaining = std::chrono::milliseconds(1); ///< time that must be left until the deadline
 };
 
@@ -27,7 +29,7 @@
 public:
     explicit RetryBudget(const RetryLimits &limits)
         : m_limits(limits)
-        , m_tokens(limits.initialTokens)
+        , m_tokens(limits.initialTokens < limits.maxTokens ? limits.initialTokens : limits.maxTokens)
     {
     }
 
@@ -41,6 +43,8 @@
         bool mayRepeat; ///< idempotent, or the attempt was not run
         std::uint32_t attemptsMade;
         TimePoint deadline;
+        std::uint32_t refusals = 0; ///< attempts that ended before the target, this one included
+        std::uint32_t attemptsAllowed = 0; ///< by the route; 0: RetryLimits::maxAttempts
     };
 
     /// Grants another attempt and pays for it, or says why not by one of the Retry codes.
@@ -51,6 +55,9 @@
         return m_tokens;
     }
 
+    /// True when \p code says that a node turned the attempt away before its target saw anything of it.
+    static bool isNodeRefusal(ResultCode code);
+
 private:
     RetryLimits m_limits;
     double m_tokens; ///< between 0 and maxTokens
--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -32,7 +32,7 @@
 /// What is to be done beside a target.
 namespace targetaction
 {
-/// Hand the request to the target, once. Report TargetCore::onAnswered(), onNotSent() or onLost().
+/// Hand the request to the target, once. Report TargetCore::onAnswered(), onNotRun() or onLost().
 struct Start
 {
     AttemptId attempt;
@@ -94,8 +94,8 @@
 
     /// The answer is complete; \p answer is null when it is not to be kept.
     TargetActions onAnswered(const AttemptId &attempt, std::shared_ptr<const KeptAnswer> answer, TimePoint now);
-    /// The request was never sent to the target.
-    TargetActions onNotSent(const AttemptId &attempt, TimePoint now);
+    /// The request was never sent to the target, or the target says that it did not run it; \p code tells which.
+    TargetActions onNotRun(const AttemptId &attempt, ResultCode code, TimePoint now);
     /// The request was sent, the answer is lost.
     TargetActions onLost(const AttemptId &attempt, ResultCode code, TimePoint now);
 
--- a/include/jasminemast/config/state.h
+++ b/include/jasminemast/config/state.h
@@ -17,15 +17,29 @@
 namespace jasminemast
 {
 
-/// Sends requests whose path starts with a prefix to one service.
+/// One part of a route whose requests are divided among services.
+struct WeightedService
+{
+    ServiceId service;
+    unsigned weight = 0; ///< share of the requests, over the sum of all weights; 0: none
+
+    bool operator==(const WeightedService &) const = default;
+};
+
+/// Sends requests whose path starts with a prefix to one service, or to several by weight.
 struct Route
 {
     RouteId id;
+    std::string host {}; ///< lower-case name that a request must be addressed to; empty: any
     std::string pathPrefix; ///< starts with '/'
     std::vector<std::string> methods; ///< empty: every method
-    ServiceId service;
+    ServiceId service; ///< used when split is empty
+    std::vector<WeightedService> split {}; ///< some weight is positive unless empty
     std::optional<bool> repeatable; ///< unset: GET and HEAD are idempotent, all else is not
     Milliseconds timeout {0}; ///< upper bound of a call's deadline
+    unsigned attempts = 0; ///< most targets that one call may be sent to; 0: the node's default
+    unsigned priority = 0; ///< 0 is the most urgent
+    Milliseconds targetLatency {0}; ///< time within which an answer has its full worth; 0: the timeout
     Digest digest {}; ///< of the fields above, as objectDigest() gives it; part of a state's digest
 
     bool operator==(const Route &) const = default;
@@ -75,8 +89,10 @@
     EndpointMap endpoints;
     std::shared_ptr<const RouteIndex> routeIndex; ///< of routes; null while a state is being built
 
-    /// The route with the longest matching prefix whose methods admit \p method; null when none does.
-    [[nodiscard]] const Route *findRoute(std::string_view method, std::string_view path) const;
+    /// The route with the longest matching prefix whose methods admit \p method; null when none does. Routes of
+    /// \p host, a lower-case name that may be empty, go before those of any host.
+    [[nodiscard]] const Route *findRoute(std::string_view method, std::string_view path,
+                                         std::string_view host = {}) const;
 };
 
 using StatePtr = std::shared_ptr<const State>;
--- a/include/jasminemast/net/httpclient.h
+++ b/include/jasminemast/net/httpclient.h
@@ -72,12 +72,13 @@
     HttpTransfer(HttpClient &client, HttpClientRequest request, Handlers handlers);
     void configure();
     void refuse();
+    void dropHandlers();
     void deliverHead();
     HttpClientResult resultOf(CURLcode code) const;
 
     HttpClient &m_client;
     HttpClientRequest m_request;
-    Handlers m_handlers;
+    std::shared_ptr<const Handlers> m_handlers; ///< never null; replaced, so that a running handler outlives cancel()
     CURL *m_easy = nullptr;
     curl_slist *m_headerList = nullptr;
     HttpHeaders m_responseHeaders;
--- a/include/jasminemast/node/controltask.h
+++ b/include/jasminemast/node/controltask.h
@@ -3,6 +3,7 @@
 
 #include "jasminemast/net/datagramsocket.h"
 #include "jasminemast/node/configsource.h"
+#include "jasminemast/node/controlplane.h"
 #include "jasminemast/node/pulllinks.h"
 #include "jasminemast/node/sourcewatcher.h"
 #include "jasminemast/node/ticketwaiters.h"
@@ -13,7 +14,7 @@
 namespace jasminemast
 {
 
-class ControlTask final : public ConfigView, public FleetView
+class ControlTask final : public ControlPlane
 {
 public:
     /// Opens the datagram socket.
@@ -21,9 +22,12 @@
     ControlTask(Loop &loop, const Clock &clock, const NodeSettings &settings, Incarnation incarnation, LinkPool &links,
                 Metrics &metrics);
 
-    void start();
-    /// Tells peers that this process takes no more work.
-    void beginDrain();
+    void start() override;
+    void beginDrain() override;
+    void onPause() override
+    {
+        // The core sees the gap between its own ticks.
+    }
 
     [[nodiscard]] StatePtr current() const override
     {
@@ -32,34 +36,31 @@
     void whenReached(TicketNumber number, TimePoint deadline, std::function<void(bool)> done) override;
     [[nodiscard]] const HostView *findHost(const HostId &host) const override;
 
-    /// A message of \p peer named \p number; a higher one than this node runs is pulled from there at once.
-    void observeNumber(const HostId &peer, TicketNumber number);
+    /// A higher number than this node runs is pulled from \p peer at once.
+    void observeNumber(const HostId &peer, TicketNumber number) override;
     /// Calls \p handler after each change of the state in force.
     void subscribe(std::function<void(const StatePtr &)> handler);
 
-    void onFrame(const std::shared_ptr<Link> &link, ControlFrame type, std::string_view payload);
-    void onLinkDown(const std::shared_ptr<Link> &link);
+    void onFrame(const std::shared_ptr<Link> &link, ControlFrame type, std::string_view payload) override;
+    void onLinkDown(const std::shared_ptr<Link> &link) override;
 
-    [[nodiscard]] Readiness readiness() const
+    [[nodiscard]] Readiness readiness() const override
     {
         return m_core.readiness();
     }
-    [[nodiscard]] bool isReady() const
-    {
-        return readiness() != Readiness::Joining;
-    }
-    [[nodiscard]] const Logbook &logbook() const
+    [[nodiscard]] const Logbook &logbook() const override
     {
         return m_log.logbook();
     }
-    [[nodiscard]] const SpreadCore &core() const
+    [[nodiscard]] TicketNumber acceptedNumber() const override
     {
-        return m_core;
+        return m_log.target().number;
     }
-    [[nodiscard]] const TicketLog &log() const
+    [[nodiscard]] bool isReader() const override
     {
-        return m_log;
+        return m_core.isReader();
     }
+    [[nodiscard]] nlohmann::json zones(TimePoint now) const override;
 
 private:
     void handle(const SpreadEvent &event);
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -22,13 +22,32 @@
 };
 
 /// Reads the caller's headers; \p atMost bounds the deadline.
-CallerLimits callerLimits(const HttpHeaders &headers, Milliseconds atMost);
+CallerLimits callerLimits(const HttpHeaders &headers, const HeaderNames &names, Milliseconds atMost);
+
+/// The lower-case host that a request is addressed to, without port; empty when it names none.
+std::string requestHost(const HttpHeaders &headers);
+
+/// What the node's settings say of the headers of calls.
+struct CallHeaders
+{
+    HeaderNames names;
+    ServiceId callerService; ///< service beside whose target the node stands
+};
+
+/// What a caller is told beside the outcome of a call that got no answer.
+struct Refusal
+{
+    bool closeConnection = false;
+    Milliseconds retryAfter {0}; ///< when a call that was not run may be sent again
+};
 
 /// The request and answer of one call.
 class EntryCall
 {
 public:
-    EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route, TimePoint began);
+    /// \p headers outlives the call.
+    EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route, const CallHeaders &headers,
+              TimePoint began);
 
     /// The message that opens \p request's attempt.
     [[nodiscard]] OpenMessage makeOpen(const OpenRequest &request) const;
@@ -52,19 +71,20 @@
     void passHead(const HeadMessage &head, bool closeConnection);
     void passData(std::string_view bytes);
     /// Ends the answer, or tells the caller why there is none.
-    void finish(Outcome outcome, ResultCode code, bool closeConnection);
+    void finish(Outcome outcome, ResultCode code, const Refusal &refusal);
 
 private:
     std::shared_ptr<HttpExchange> m_exchange;
     StatePtr m_state; ///< the configuration that the call began with
     const Route *m_route; ///< in m_state
+    const CallHeaders &m_headers;
     TimePoint m_began;
     std::shared_ptr<AttemptHandle> m_handle; ///< attempt under way
     bool m_headPassed = false;
 };
 
 /// Answers \p exchange without an attempt having been made.
-void respondWithoutAnswer(HttpExchange &exchange, TicketNumber ticket, Outcome outcome, ResultCode code,
-                          bool closeConnection);
+void respondWithoutAnswer(HttpExchange &exchange, const HeaderNames &names, TicketNumber ticket, Outcome outcome,
+                          ResultCode code, const Refusal &refusal);
 
 } // namespace jasminemast
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -3,6 +3,7 @@
 
 #include "jasminemast/call/entry.h"
 #include "jasminemast/call/pauseguard.h"
+#include "jasminemast/call/split.h"
 #include "jasminemast/net/linkpool.h"
 #include "jasminemast/node/callclient.h"
 #include "jasminemast/node/entrycall.h"
@@ -82,6 +83,7 @@
     [[nodiscard]] std::shared_ptr<Link> linkTo(const HostId &host) const;
     void followConfiguration();
     [[nodiscard]] std::vector<Candidate> candidatesOf(const State &state, const Service &service) const;
+    [[nodiscard]] Refusal refusal();
     void tick();
     /// Ticks often while there is work and seldom otherwise.
     void scheduleTick();
@@ -90,6 +92,9 @@
     HostRecord m_self;
     std::uint16_t m_linkPort;
     CallSettings m_settings;
+    CallHeaders m_headers;
+    RouteSplit m_split;
+    Random m_random;
     EntryCore m_core;
     std::map<CallId, std::unique_ptr<EntryCall>> m_calls; ///< exactly the open calls of m_core
     std::size_t m_waiting = 0; ///< requests that wait for a ticket before their call begins
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -4,7 +4,7 @@
 #include "jasminemast/call/pauseguard.h"
 #include "jasminemast/node/callclient.h"
 #include "jasminemast/node/callserver.h"
-#include "jasminemast/node/controltask.h"
+#include "jasminemast/node/controlplane.h"
 #include "jasminemast/node/entryside.h"
 #include "jasminemast/node/operatorapi.h"
 #include "jasminemast/node/targetside.h"
@@ -19,7 +19,8 @@
 public:
     /// Opens all sockets.
     /// \throws ResultError with BindFailed.
-    Node(Loop &loop, const Clock &clock, NodeSettings settings);
+    /// \p makeControl is called once, from here.
+    Node(Loop &loop, const Clock &clock, NodeSettings settings, const ControlPlaneFactory &makeControl);
 
     /// Runs until SIGTERM or SIGINT, and then until the accepted calls are answered.
     void run();
@@ -46,7 +47,8 @@
     PauseGuard m_pauseGuard;
     Metrics m_metrics;
     LinkPool m_links;
-    ControlTask m_control;
+    std::unique_ptr<ControlPlane> m_controlPlane; ///< never null
+    ControlPlane &m_control;
     TargetSide m_target;
     CallServer m_callServer;
     CallClient m_callClient;
--- a/include/jasminemast/node/operatorapi.h
+++ b/include/jasminemast/node/operatorapi.h
@@ -2,7 +2,7 @@
 #pragma once
 
 #include "jasminemast/net/httpserver.h"
-#include "jasminemast/node/controltask.h"
+#include "jasminemast/node/controlplane.h"
 #include "jasminemast/support/metrics.h"
 
 #include <functional>
@@ -15,7 +15,7 @@
 {
 public:
     /// \p updateGauges is called before metrics are rendered.
-    OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+    OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlPlane &control,
                 Metrics &metrics, std::function<void()> updateGauges);
 
 private:
@@ -29,7 +29,7 @@
 
     const Clock &m_clock;
     const NodeSettings &m_settings;
-    const ControlTask &m_control;
+    const ControlPlane &m_control;
     Metrics &m_metrics;
     std::function<void()> m_updateGauges;
     HttpServer m_server;
--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -3,6 +3,7 @@
 
 #include "jasminemast/net/httpclient.h"
 #include "jasminemast/node/answersink.h"
+#include "jasminemast/settings/nodesettings.h"
 
 #include <functional>
 #include <memory>
@@ -17,6 +18,7 @@
 {
     std::string url; ///< of the target, without the path
     Milliseconds remaining {0};
+    HeaderNames headers;
 };
 
 /// An attempt that was accepted. Keeps the start of a non-repeatable call's answer, so that a fence can have it again.
@@ -52,12 +54,16 @@
 
 private:
     void onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
+    [[nodiscard]] ResultCode judge(unsigned status, const HttpHeaders &headers) const;
+    void giveUpForeign();
     void onData(std::string_view bytes);
     void onDone(const HttpClientResult &result);
     void pass(std::string_view bytes);
     [[nodiscard]] std::shared_ptr<const KeptAnswer> kept() const;
 
     OpenMessage m_open;
+    HeaderNames m_names;
+    ResultCode m_judgement = ResultCode::Ok; ///< why the answer is not passed on
     std::string m_requestBody;
     std::shared_ptr<AnswerSink> m_sink;
     std::shared_ptr<HttpTransfer> m_transfer;
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -6,6 +6,7 @@
 #include "jasminemast/node/answersink.h"
 #include "jasminemast/node/targetattempt.h"
 #include "jasminemast/node/views.h"
+#include "jasminemast/settings/nodesettings.h"
 
 #include <functional>
 #include <map>
@@ -30,7 +31,7 @@
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-               TargetSideIdentity identity, Metrics &metrics, Announcer announcer);
+               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
@@ -74,6 +75,7 @@
     const ConfigView &m_config;
     const FleetView &m_fleet;
     TargetSideIdentity m_identity;
+    const CallSettings &m_settings;
     Announcer m_announcer;
     HttpClient m_http;
     HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
--- a/include/jasminemast/settings/jsonreader.h
+++ b/include/jasminemast/settings/jsonreader.h
@@ -3,6 +3,7 @@
 // Every refusal carries a numbered code, the path within the file (RFC 6901) and what was expected.
 #pragma once
 
+#include "jasminemast/net/socketaddress.h"
 #include "jasminemast/support/clock.h"
 #include "jasminemast/support/result.h"
 
@@ -55,6 +56,8 @@
     /// http://ADDRESS:PORT.
     std::string url(const char *key);
     std::uint16_t port(const char *key);
+    /// "IP:PORT".
+    SocketAddress socketAddress(const char *key, const SocketAddress &fallback);
     /// An empty object when absent.
     JsonReader object(const char *key);
     /// Readers of an array's objects; none when absent.
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -28,7 +28,7 @@
 EntryCore::Begun EntryCore::begin(const CallSpec &spec, TimePoint now)
 {
     const CallId id {m_place.host, m_place.incarnation, ++m_lastSequence};
-    CallMachine machine(spec.repeatable, spec.deadline);
+    CallMachine machine(spec.repeatable, spec.deadline, spec.attempts);
     const CallActions first = machine.start();
     m_calls.emplace(id, Call {spec, machine, {}, ResultCode::NoEndpoint, {}});
     m_deadlines.emplace(spec.deadline, id);
@@ -58,7 +58,10 @@
     Call &call = found->second;
     const auto service = m_services.find(call.spec.service);
     // A service that a ticket removed meanwhile grants no further attempts.
-    RetryBudget none(RetryLimits {0, 0, 0, m_limits.retry.maxAttempts, m_limits.retry.minRemaining});
+    RetryLimits noTokens = m_limits.retry;
+    noTokens.share = 0;
+    noTokens.maxTokens = 0;
+    RetryBudget none(noTokens);
     RetryBudget &budget = service == m_services.end() ? none : service->second.budget;
     const CallActions steps = call.machine.step(event, budget, now);
     for (const CallAction &step : steps) {
@@ -126,7 +129,7 @@
     }
     Choice &choice = service->second.choice;
     choice.began(*picked);
-    call.attempt = Attempt {*picked, *choice.hostOf(*picked), {}, {}, false, false, now, true};
+    call.attempt = Attempt {*picked, *choice.hostOf(*picked), {}, {}, false, false, now, true, false};
     drive(id, callevent::EndpointChosen {}, AttemptEvidence::Neutral, actions, now);
 }
 
@@ -290,9 +293,10 @@
     if (code == ResultCode::TargetLeaving) {
         onAnnounced(call.attempt.endpoint, true, now);
     }
-    const bool unreachable = code == ResultCode::TargetUnreachable;
+    const bool isFault
+        = code == ResultCode::TargetUnreachable || code == ResultCode::TargetShed || code == ResultCode::TargetReplaced;
     drive(attempt.call, callevent::Refused {attempt.number, code},
-          unreachable ? AttemptEvidence::Failure : AttemptEvidence::Neutral, actions, now);
+          isFault ? AttemptEvidence::Failure : AttemptEvidence::Neutral, actions, now);
     return actions;
 }
 
@@ -317,10 +321,22 @@
     return actions;
 }
 
+EntryActions EntryCore::onAnswerFailed(const AttemptId &attempt, TimePoint now)
+{
+    EntryActions actions;
+    drive(attempt.call, callevent::AnswerFailed {attempt.number}, AttemptEvidence::Failure, actions, now);
+    if (awaits(attempt)) {
+        m_calls.at(attempt.call).attempt.failed = true;
+    }
+    return actions;
+}
+
 EntryActions EntryCore::onAnswerEnded(const AttemptId &attempt, TimePoint now)
 {
     EntryActions actions;
-    drive(attempt.call, callevent::AnswerEnded {attempt.number}, AttemptEvidence::Success, actions, now);
+    const bool failed = awaits(attempt) && m_calls.at(attempt.call).attempt.failed;
+    drive(attempt.call, callevent::AnswerEnded {attempt.number},
+          failed ? AttemptEvidence::Failure : AttemptEvidence::Success, actions, now);
     return actions;
 }
 
--- a/lib/call/fence.cpp
+++ b/lib/call/fence.cpp
@@ -32,6 +32,8 @@
     case ResultCode::EndpointElsewhere:
     case ResultCode::CallWithdrawn:
     case ResultCode::PeerUnreachable:
+    case ResultCode::TargetShed:
+    case ResultCode::TargetReplaced:
         return true;
     default:
         return false;
--- a/lib/call/outcome.cpp
+++ b/lib/call/outcome.cpp
@@ -6,9 +6,10 @@
 namespace jasminemast
 {
 
-CallMachine::CallMachine(bool repeatable, TimePoint deadline)
+CallMachine::CallMachine(bool repeatable, TimePoint deadline, std::uint32_t attemptsAllowed)
     : m_repeatable(repeatable)
     , m_deadline(deadline)
+    , m_attemptsAllowed(attemptsAllowed)
 {
 }
 
@@ -52,11 +53,16 @@
     return {callaction::Finish {outcome, code, stop}};
 }
 
+RetryBudget::Request CallMachine::retryRequest(bool mayRepeat, ResultCode code) const
+{
+    return {code, mayRepeat, m_attempt, m_deadline, m_refusals, m_attemptsAllowed};
+}
+
 CallActions CallMachine::retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now)
 {
-    const RetryBudget::Request request {code, notRun || m_repeatable, m_attempt, m_deadline};
+    m_refusals += RetryBudget::isNodeRefusal(code) ? 1 : 0;
     m_mayHaveRun = m_mayHaveRun || !notRun;
-    const std::optional<ResultCode> stop = budget.refuse(request, now);
+    const std::optional<ResultCode> stop = budget.refuse(retryRequest(notRun || m_repeatable, code), now);
     if (stop) {
         return finish(unanswered(), code, stop);
     }
@@ -124,6 +130,20 @@
     return {};
 }
 
+CallActions CallMachine::on(const callevent::AnswerFailed &event, RetryBudget &budget, TimePoint now)
+{
+    if (!awaits(event.attempt)) {
+        return {};
+    }
+    if (!m_repeatable || budget.refuse(retryRequest(true, ResultCode::AnswerFailed), now)) {
+        m_phase = Phase::Answering;
+        return {};
+    }
+    m_mayHaveRun = true;
+    m_phase = Phase::Choosing;
+    return {callaction::SendCancel {m_attempt}, callaction::Choose {ResultCode::AnswerFailed}};
+}
+
 CallActions CallMachine::on(const callevent::AnswerEnded &event, RetryBudget & /*budget*/, TimePoint /*now*/)
 {
     if (event.attempt != m_attempt || m_phase != Phase::Answering) {
--- a/lib/call/retry.cpp
+++ b/lib/call/retry.cpp
@@ -6,6 +6,23 @@
 namespace jasminemast
 {
 
+bool RetryBudget::isNodeRefusal(ResultCode code)
+{
+    switch (code) {
+    case ResultCode::NotReady:
+    case ResultCode::SlotsFull:
+    case ResultCode::StartTooLate:
+    case ResultCode::TargetLeaving:
+    case ResultCode::AttemptFenced:
+    case ResultCode::EndpointElsewhere:
+    case ResultCode::PeerUnreachable:
+    case ResultCode::TargetUnreachable:
+        return true;
+    default:
+        return false;
+    }
+}
+
 void RetryBudget::earn()
 {
     m_tokens = std::min(m_tokens + m_limits.share, m_limits.maxTokens);
@@ -16,13 +33,16 @@
     if (!request.mayRepeat) {
         return ResultCode::RetryNotIdempotent;
     }
-    if (request.attemptsMade >= m_limits.maxAttempts) {
+    const std::uint32_t allowed = request.attemptsAllowed == 0 ? m_limits.maxAttempts : request.attemptsAllowed;
+    if (request.attemptsMade - std::min(request.refusals, m_limits.freeRefusals) >= allowed) {
         return ResultCode::RetryAttemptsSpent;
     }
     if (request.deadline - now < m_limits.minRemaining) {
         return ResultCode::RetryDeadlineNear;
     }
-    if (request.reason == ResultCode::TargetLeaving) {
+    const bool isWithinFree = m_limits.freeRefusals > 0 && request.refusals <= m_limits.freeRefusals;
+    const bool isFree = isWithinFree && isNodeRefusal(request.reason);
+    if (request.reason == ResultCode::TargetLeaving || isFree) {
         return std::nullopt;
     }
     if (m_tokens < 1) {
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -169,14 +169,14 @@
     return actions;
 }
 
-TargetActions TargetCore::onNotSent(const AttemptId &attempt, TimePoint now)
+TargetActions TargetCore::onNotRun(const AttemptId &attempt, ResultCode code, TimePoint now)
 {
     TargetActions actions;
     if (!runs(attempt)) {
         return actions;
     }
     release(attempt, actions, now);
-    refuse(attempt, ResultCode::TargetUnreachable, actions, now);
+    refuse(attempt, code, actions, now);
     return actions;
 }
 
--- a/lib/command/nodecommand.cpp
+++ b/lib/command/nodecommand.cpp
@@ -1,6 +1,9 @@
 // Sub-commands that concern the process itself: node, settings check, version.
 #include "jasminemast/command/command.h"
+#include "jasminemast/node/controltask.h"
 #include "jasminemast/node/node.h"
+#include "jasminemast/node/registrytask.h"
+#include "platform/storeclient.h"
 
 #include <curl/curl.h>
 #include <gflags/gflags.h>
@@ -24,6 +27,17 @@
     return readNodeSettings(FLAGS_settings);
 }
 
+/// Reads the platform's registry where the settings name one, and tickets otherwise.
+std::unique_ptr<ControlPlane> makeControlPlane(const ControlContext &context)
+{
+    const std::string &registry = context.settings.registry.address;
+    if (!registry.empty()) {
+        return std::make_unique<RegistryTask>(context, std::make_unique<platform::StoreClient>(context.loop, registry));
+    }
+    return std::make_unique<ControlTask>(context.loop, context.clock, context.settings, context.incarnation,
+                                         context.links, context.metrics);
+}
+
 } // namespace
 
 int runNode(const std::vector<std::string> & /*arguments*/)
@@ -33,7 +47,7 @@
     curl_global_init(CURL_GLOBAL_DEFAULT);
     Loop loop;
     const SystemClock clock;
-    Node node(loop, clock, std::move(settings));
+    Node node(loop, clock, std::move(settings), &makeControlPlane);
     node.run();
     return 0;
 }
--- a/lib/config/routeindex.cpp
+++ b/lib/config/routeindex.cpp
@@ -17,10 +17,15 @@
         || std::find(route.methods.begin(), route.methods.end(), method) != route.methods.end();
 }
 
+std::string keyOf(const Route &route)
+{
+    return route.host + route.pathPrefix;
+}
+
 bool goesBefore(const std::shared_ptr<const Route> &left, const std::shared_ptr<const Route> &right)
 {
-    if (left->pathPrefix != right->pathPrefix) {
-        return left->pathPrefix < right->pathPrefix;
+    if (keyOf(*left) != keyOf(*right)) {
+        return keyOf(*left) < keyOf(*right);
     }
     if (left->methods.empty() != right->methods.empty()) {
         return right->methods.empty();
@@ -39,24 +44,35 @@
     }
     std::sort(routes.begin(), routes.end(), goesBefore);
     for (std::shared_ptr<const Route> &route : routes) {
-        if (m_entries.empty() || m_entries.back().prefix != route->pathPrefix) {
-            addEntry(route->pathPrefix);
+        std::string key = keyOf(*route);
+        if (m_entries.empty() || m_entries.back().prefix != key) {
+            addEntry(std::move(key));
         }
         m_entries.back().routes.push_back(std::move(route));
     }
 }
 
-void RouteIndex::addEntry(std::string_view prefix)
+void RouteIndex::addEntry(std::string prefix)
 {
     // Every shorter prefix of this one is the entry before or among that entry's parents.
     std::size_t parent = m_entries.empty() ? NoEntry : m_entries.size() - 1;
     while (parent != NoEntry && !prefix.starts_with(m_entries[parent].prefix)) {
         parent = m_entries[parent].parent;
     }
-    m_entries.push_back({prefix, {}, parent});
+    m_entries.push_back({std::move(prefix), {}, parent});
+}
+
+const Route *RouteIndex::find(std::string_view method, std::string_view path, std::string_view host) const
+{
+    if (!host.empty()) {
+        if (const Route *route = findKey(method, std::string(host) + std::string(path))) {
+            return route;
+        }
+    }
+    return findKey(method, path);
 }
 
-const Route *RouteIndex::find(std::string_view method, std::string_view path) const
+const Route *RouteIndex::findKey(std::string_view method, std::string_view path) const
 {
     const auto above
         = std::upper_bound(m_entries.begin(), m_entries.end(), path,
--- a/lib/config/state.cpp
+++ b/lib/config/state.cpp
@@ -17,6 +17,25 @@
     out += field;
 }
 
+/// Appends what tickets cannot set, so that the digest of a ticket's route stays what it was before these fields.
+void appendRegistryFields(std::string &out, const Route &route)
+{
+    const bool isSet = !route.host.empty() || !route.split.empty() || route.attempts != 0 || route.priority != 0
+        || route.targetLatency.count() != 0;
+    if (!isSet) {
+        return;
+    }
+    appendField(out, route.host);
+    out += std::to_string(route.split.size());
+    for (const WeightedService &part : route.split) {
+        appendField(out, part.service.value());
+        appendField(out, std::to_string(part.weight));
+    }
+    appendField(out, std::to_string(route.attempts));
+    appendField(out, std::to_string(route.priority));
+    appendField(out, std::to_string(route.targetLatency.count()));
+}
+
 void appendRoute(std::string &out, const Route &route)
 {
     out.push_back('R');
@@ -29,6 +48,7 @@
     appendField(out, route.service.value());
     out.push_back(!route.repeatable ? '-' : (*route.repeatable ? '1' : '0'));
     appendField(out, std::to_string(route.timeout.count()));
+    appendRegistryFields(out, route);
 }
 
 void appendService(std::string &out, const Service &service)
@@ -69,12 +89,12 @@
     return repeatable.value_or(method == "GET" || method == "HEAD");
 }
 
-const Route *State::findRoute(std::string_view method, std::string_view path) const
+const Route *State::findRoute(std::string_view method, std::string_view path, std::string_view host) const
 {
     if (!routeIndex) {
-        return RouteIndex(*this).find(method, path);
+        return RouteIndex(*this).find(method, path, host);
     }
-    return routeIndex->find(method, path);
+    return routeIndex->find(method, path, host);
 }
 
 StatePtr emptyState()
@@ -118,9 +138,17 @@
 
 void checkReferences(const State &state, const Route &route)
 {
-    if (!state.services.contains(route.service)) {
-        throw ResultError(ResultCode::TicketRouteWithoutService,
-                          "/routes/" + route.id.value() + ": service " + route.service.value());
+    const auto check = [&](const ServiceId &service) {
+        if (!state.services.contains(service)) {
+            throw ResultError(ResultCode::TicketRouteWithoutService,
+                              "/routes/" + route.id.value() + ": service " + service.value());
+        }
+    };
+    if (route.split.empty()) {
+        check(route.service);
+    }
+    for (const WeightedService &part : route.split) {
+        check(part.service);
     }
 }
 
--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -1,6 +1,10 @@
 // libcurl's multi interface driven by libev.
 #include "jasminemast/net/httpclient.h"
 
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
 #include <algorithm>
 #include <cstdlib>
 #include <utility>
@@ -12,7 +16,12 @@
 {
 
 constexpr std::size_t MaxSpareHandles = 64;
-constexpr long MaxIdleConnectionSeconds = 20;
+/// Below the idle time after which targets close; a request never meets a connection that is being closed.
+constexpr long MaxIdleConnectionSeconds = 4;
+constexpr int KeepAliveIdleSeconds = 1;
+constexpr int KeepAliveIntervalSeconds = 1;
+constexpr int KeepAliveProbes = 2;
+constexpr int UnacknowledgedMilliseconds = 2'000; // as long as the keep-alive probes take
 /// An answer with a longer head fails; it would not fit one link frame.
 constexpr std::size_t MaxHeadBytes = 256 << 10;
 
@@ -88,6 +97,20 @@
         return 0;
     }
 
+    /// A connection that went silent is given up by the system instead of waiting for the timeout.
+    static int onSocketMade(void * /*context*/, curl_socket_t descriptor, curlsocktype /*purpose*/)
+    {
+        const auto set = [descriptor](int level, int name, int value) {
+            ::setsockopt(descriptor, level, name, &value, sizeof(value));
+        };
+        set(SOL_SOCKET, SO_KEEPALIVE, 1);
+        set(IPPROTO_TCP, TCP_KEEPIDLE, KeepAliveIdleSeconds);
+        set(IPPROTO_TCP, TCP_KEEPINTVL, KeepAliveIntervalSeconds);
+        set(IPPROTO_TCP, TCP_KEEPCNT, KeepAliveProbes);
+        set(IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMilliseconds);
+        return CURL_SOCKOPT_OK;
+    }
+
     static std::size_t onHeader(char *data, std::size_t size, std::size_t count, void *context)
     {
         auto *transfer = static_cast<HttpTransfer *>(context);
@@ -122,8 +145,9 @@
             transfer->m_answerTooLarge = true;
             return 0;
         }
-        if (transfer->m_handlers.onData) {
-            transfer->m_handlers.onData(bytes);
+        const auto handlers = transfer->m_handlers;
+        if (handlers->onData) {
+            handlers->onData(bytes);
         }
         return bytes.size();
     }
@@ -143,7 +167,7 @@
 HttpTransfer::HttpTransfer(HttpClient &client, HttpClientRequest request, Handlers handlers)
     : m_client(client)
     , m_request(std::move(request))
-    , m_handlers(std::move(handlers))
+    , m_handlers(std::make_shared<const Handlers>(std::move(handlers)))
     , m_easy(client.takeHandle())
 {
     configure();
@@ -163,6 +187,7 @@
     curl_easy_setopt(m_easy, CURLOPT_PROTOCOLS_STR, "http");
     curl_easy_setopt(m_easy, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
     curl_easy_setopt(m_easy, CURLOPT_MAXAGE_CONN, MaxIdleConnectionSeconds);
+    curl_easy_setopt(m_easy, CURLOPT_SOCKOPTFUNCTION, &HttpClientCallbacks::onSocketMade);
     curl_easy_setopt(m_easy, CURLOPT_TIMEOUT_MS, static_cast<long>(m_request.timeout.count()));
     curl_easy_setopt(m_easy, CURLOPT_CONNECTTIMEOUT_MS, static_cast<long>(m_request.connectTimeout.count()));
     curl_easy_setopt(m_easy, CURLOPT_HEADERFUNCTION, &HttpClientCallbacks::onHeader);
@@ -203,8 +228,9 @@
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
     m_status = static_cast<unsigned>(status);
-    if (m_handlers.onHead) {
-        m_handlers.onHead(m_status, m_responseHeaders, contentLength(m_responseHeaders));
+    const auto handlers = m_handlers;
+    if (handlers->onHead) {
+        handlers->onHead(m_status, m_responseHeaders, contentLength(m_responseHeaders));
     }
 }
 
@@ -231,17 +257,22 @@
 {
     curl_easy_cleanup(std::exchange(m_easy, nullptr));
     m_client.m_loop.post([self = shared_from_this()] {
-        const auto onDone = self->m_handlers.onDone;
-        self->m_handlers = {};
-        if (onDone) {
-            onDone({ResultCode::BadRequest, "method, target or header holds a forbidden character", false});
+        const auto handlers = self->m_handlers;
+        self->dropHandlers();
+        if (handlers->onDone) {
+            handlers->onDone({ResultCode::BadRequest, "method, target or header holds a forbidden character", false});
         }
     });
 }
 
+void HttpTransfer::dropHandlers()
+{
+    m_handlers = std::make_shared<const Handlers>();
+}
+
 void HttpTransfer::cancel()
 {
-    m_handlers = {};
+    dropHandlers();
     // libcurl forbids removing a transfer from within its own callbacks.
     m_client.m_loop.post([self = shared_from_this()] {
         if (self->m_easy != nullptr) {
@@ -280,7 +311,7 @@
 {
     const auto active = m_active;
     for (const auto &[easy, transfer] : active) {
-        transfer->m_handlers = {};
+        transfer->dropHandlers();
         remove(*transfer);
     }
     for (CURL *easy : m_spareHandles) {
@@ -381,11 +412,11 @@
             transfer->deliverHead();
         }
         const HttpClientResult result = transfer->resultOf(code);
-        const auto onDone = transfer->m_handlers.onDone;
+        const auto handlers = transfer->m_handlers;
         remove(*transfer);
-        transfer->m_handlers = {};
-        if (onDone) {
-            onDone(result);
+        transfer->dropHandlers();
+        if (handlers->onDone) {
+            handlers->onDone(result);
         }
     }
 }
--- a/lib/node/controltask.cpp
+++ b/lib/node/controltask.cpp
@@ -1,6 +1,7 @@
 // Performs the actions of the core and feeds it events.
 #include "jasminemast/node/controltask.h"
 
+#include "jasminemast/node/fleetstatus.h"
 #include "jasminemast/support/events.h"
 
 #include <random>
@@ -97,6 +98,11 @@
     m_tickTimer.startRepeating(SpreadCore::TickInterval);
 }
 
+nlohmann::json ControlTask::zones(TimePoint now) const
+{
+    return fleetZones(m_core, now);
+}
+
 void ControlTask::beginDrain()
 {
     handle(LeavingStarted {});
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -3,6 +3,8 @@
 
 #include <algorithm>
 #include <charconv>
+#include <iomanip>
+#include <sstream>
 
 namespace jasminemast
 {
@@ -14,7 +16,6 @@
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned StatusUnavailable = 503;
 constexpr unsigned StatusGatewayTimeout = 504;
-constexpr const char *DeadlineHeader = "Jasminemast-Deadline-Ms";
 constexpr const char *TicketHeader = "Jasminemast-Ticket";
 constexpr const char *OutcomeHeader = "Jasminemast-Outcome";
 constexpr const char *CodeHeader = "Jasminemast-Code";
@@ -35,8 +36,39 @@
 
 bool isOwnHeader(std::string_view name)
 {
-    return equalHeaderNames(name, DeadlineHeader) || equalHeaderNames(name, TicketHeader)
-        || equalHeaderNames(name, OutcomeHeader) || equalHeaderNames(name, CodeHeader);
+    return equalHeaderNames(name, TicketHeader) || equalHeaderNames(name, OutcomeHeader)
+        || equalHeaderNames(name, CodeHeader);
+}
+
+/// True for headers of a request that the nodes alone set.
+bool isSetByNode(std::string_view name, const HeaderNames &names)
+{
+    return isOwnHeader(name) || equalHeaderNames(name, names.deadline) || equalHeaderNames(name, names.expectedEndpoint)
+        || equalHeaderNames(name, names.callerService);
+}
+
+/// Header names that the Connection header calls hop-by-hop.
+std::vector<std::string> connectionOptions(const HttpHeaders &headers)
+{
+    std::vector<std::string> options;
+    for (const HttpHeader &header : headers) {
+        if (!equalHeaderNames(header.name, "Connection")) {
+            continue;
+        }
+        std::stringstream list(header.value);
+        for (std::string option; std::getline(list, option, ',');) {
+            std::erase_if(option, [](char c) { return c == ' ' || c == '\t'; });
+            options.push_back(option);
+        }
+    }
+    return options;
+}
+
+std::string secondsText(Milliseconds time)
+{
+    std::ostringstream text;
+    text << std::fixed << std::setprecision(3) << std::chrono::duration<double>(time).count();
+    return text.str();
 }
 
 const char *outcomeText(Outcome outcome)
@@ -65,11 +97,11 @@
 
 } // namespace
 
-CallerLimits callerLimits(const HttpHeaders &headers, Milliseconds atMost)
+CallerLimits callerLimits(const HttpHeaders &headers, const HeaderNames &names, Milliseconds atMost)
 {
     CallerLimits limits;
     limits.deadline = atMost;
-    if (const auto asked = numberHeader(headers, DeadlineHeader)) {
+    if (const auto asked = numberHeader(headers, names.deadline.c_str())) {
         const auto most = static_cast<std::uint64_t>(atMost.count());
         limits.deadline = Milliseconds(std::min(*asked, most));
     }
@@ -77,10 +109,24 @@
     return limits;
 }
 
-EntryCall::EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route, TimePoint began)
+std::string requestHost(const HttpHeaders &headers)
+{
+    const std::string *header = findHeader(headers, "Host");
+    if (header == nullptr) {
+        return {};
+    }
+    std::string host = header->substr(0, header->find(':'));
+    std::transform(host.begin(), host.end(), host.begin(),
+                   [](unsigned char c) { return static_cast<char>(std::tolower(c)); });
+    return host;
+}
+
+EntryCall::EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route,
+                     const CallHeaders &headers, TimePoint began)
     : m_exchange(std::move(exchange))
     , m_state(std::move(state))
     , m_route(route)
+    , m_headers(headers)
     , m_began(began)
 {
 }
@@ -98,12 +144,20 @@
     open.repeatable = request.repeatable;
     open.method = http.method;
     open.target = http.target;
+    const std::vector<std::string> dropped = connectionOptions(http.headers);
+    const auto isDropped = [&dropped](const std::string &name) {
+        return std::any_of(dropped.begin(), dropped.end(),
+                           [&name](const std::string &option) { return equalHeaderNames(option, name); });
+    };
     for (const HttpHeader &header : endToEndHeaders(http.headers)) {
-        if (isOwnHeader(header.name)) {
+        if (isSetByNode(header.name, m_headers.names) || isDropped(header.name)) {
             continue;
         }
         open.headers.emplace_back(header.name, header.value);
     }
+    if (!m_headers.names.callerService.empty()) {
+        open.headers.emplace_back(m_headers.names.callerService, m_headers.callerService.value());
+    }
     return open;
 }
 
@@ -147,7 +201,7 @@
     m_exchange->write(bytes);
 }
 
-void EntryCall::finish(Outcome outcome, ResultCode code, bool closeConnection)
+void EntryCall::finish(Outcome outcome, ResultCode code, const Refusal &refusal)
 {
     m_exchange->setCancelHandler(nullptr);
     if (outcome == Outcome::Answered) {
@@ -159,18 +213,25 @@
         m_exchange->abort();
         return;
     }
-    respondWithoutAnswer(*m_exchange, m_state->number, outcome, code, closeConnection);
+    respondWithoutAnswer(*m_exchange, m_headers.names, m_state->number, outcome, code, refusal);
 }
 
-void respondWithoutAnswer(HttpExchange &exchange, TicketNumber ticket, Outcome outcome, ResultCode code,
-                          bool closeConnection)
+void respondWithoutAnswer(HttpExchange &exchange, const HeaderNames &names, TicketNumber ticket, Outcome outcome,
+                          ResultCode code, const Refusal &refusal)
 {
     HttpHeaders headers;
     headers.push_back({"Content-Type", "text/plain"});
     headers.push_back({TicketHeader, std::to_string(ticket.value())});
     headers.push_back({OutcomeHeader, outcomeText(outcome)});
     headers.push_back({CodeHeader, std::to_string(number(code))});
-    if (closeConnection) {
+    const std::string *id = names.requestId.empty() ? nullptr : findHeader(exchange.request().headers, names.requestId);
+    if (id != nullptr) {
+        headers.push_back({names.requestId, *id});
+    }
+    if (outcome == Outcome::NotRun && refusal.retryAfter.count() > 0) {
+        headers.push_back({"Retry-After", secondsText(refusal.retryAfter)});
+    }
+    if (refusal.closeConnection) {
         headers.push_back({"Connection", "close"});
     }
     std::string text = std::to_string(number(code)) + " " + std::string(resultInfo(code).text) + "\n";
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -16,6 +16,19 @@
 constexpr Milliseconds FollowInterval {500};
 /// Least time between two diallings of one host.
 constexpr Milliseconds RedialDelay {50};
+/// A caller that was refused may return after between one and two of these: some requests have ended by then, and
+/// those who were refused together do not return together.
+constexpr Milliseconds RetryAfterStep {150};
+constexpr unsigned LeastFailureStatus = 500;
+
+EntryLimits entryLimits(const CallSettings &settings)
+{
+    EntryLimits limits;
+    limits.retry.share = settings.retryShare;
+    limits.retry.maxTokens = settings.retryBurst;
+    limits.retry.freeRefusals = settings.freeRefusals;
+    return limits;
+}
 
 } // namespace
 
@@ -47,7 +60,14 @@
             return;
         }
         m_side.m_core.onLoad(m_attempt, head.load, now);
-        m_side.perform(m_side.m_core.onAnswerBegan(m_attempt, now));
+        if (head.status >= LeastFailureStatus) {
+            m_side.perform(m_side.m_core.onAnswerFailed(m_attempt, now));
+        } else {
+            m_side.perform(m_side.m_core.onAnswerBegan(m_attempt, now));
+        }
+        if (!m_side.m_core.awaits(m_attempt)) {
+            return;
+        }
         m_side.findCall(m_attempt.call)->passHead(head, m_side.m_draining);
     }
 
@@ -83,8 +103,10 @@
     , m_self(settings.self)
     , m_linkPort(settings.linkPort)
     , m_settings(settings.calls)
-    , m_core(EntryPlace {settings.self.host, incarnation, settings.self.zone, settings.self.region}, EntryLimits {},
-             seed, context.metrics)
+    , m_headers {settings.calls.headers, settings.targetService}
+    , m_random(seed)
+    , m_core(EntryPlace {settings.self.host, incarnation, settings.self.zone, settings.self.region},
+             entryLimits(settings.calls), seed, context.metrics)
     , m_tickTimer(context.loop, [this] { tick(); })
 {
     // The target beside this node is reached without a link.
@@ -98,7 +120,7 @@
 {
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
-    const CallerLimits limits = callerLimits(exchange->request().headers, m_settings.defaultDeadline);
+    const CallerLimits limits = callerLimits(exchange->request().headers, m_headers.names, m_settings.defaultDeadline);
     const TimePoint arrived = now - m_context.pauseGuard.inputAge(now);
     const TimePoint deadline = arrived + limits.deadline;
     if (limits.seen <= m_context.config.current()->number) {
@@ -113,8 +135,8 @@
             return;
         }
         m_context.metrics.count(Counter::CallsNotRun, ResultCode::TicketNotReached);
-        respondWithoutAnswer(*exchange, m_context.config.current()->number, Outcome::NotRun,
-                             ResultCode::TicketNotReached, m_draining);
+        respondWithoutAnswer(*exchange, m_headers.names, m_context.config.current()->number, Outcome::NotRun,
+                             ResultCode::TicketNotReached, refusal());
     });
 }
 
@@ -123,20 +145,21 @@
     followConfiguration();
     const HttpRequest &request = exchange->request();
     const StatePtr state = m_context.config.current();
-    const Route *route = state->findRoute(request.method, request.path());
+    const Route *route = state->findRoute(request.method, request.path(), requestHost(request.headers));
     if (route == nullptr) {
         // Without any ticket this node cannot know what exists.
         const ResultCode code = state->number == TicketNumber(0) ? ResultCode::NotReady : ResultCode::NoRoute;
         m_context.metrics.count(Counter::CallsNotRun, code);
-        respondWithoutAnswer(*exchange, state->number, Outcome::NotRun, code, m_draining);
+        respondWithoutAnswer(*exchange, m_headers.names, state->number, Outcome::NotRun, code, refusal());
         return;
     }
     CallSpec spec;
-    spec.service = route->service;
+    spec.service = m_split.next(*route);
+    spec.attempts = route->attempts;
     spec.repeatable = route->isRepeatable(request.method);
     spec.deadline = std::min(deadline, arrived + route->timeout);
     const EntryCore::Begun begun = m_core.begin(spec, m_context.clock.now());
-    m_calls.emplace(begun.call, std::make_unique<EntryCall>(exchange, state, route, arrived));
+    m_calls.emplace(begun.call, std::make_unique<EntryCall>(exchange, state, route, m_headers, arrived));
     if (m_calls.size() == 1) {
         scheduleTick();
     }
@@ -286,7 +309,13 @@
     if (end.outcome == Outcome::Answered) {
         m_context.metrics.observe(Summary::CallDuration, now - call->began());
     }
-    call->finish(end.outcome, end.code, m_draining);
+    call->finish(end.outcome, end.code, refusal());
+}
+
+Refusal EntrySide::refusal()
+{
+    const auto spread = static_cast<Milliseconds::rep>(m_random.below(RetryAfterStep.count()));
+    return {m_draining, RetryAfterStep + Milliseconds(spread)};
 }
 
 std::vector<Candidate> EntrySide::candidatesOf(const State &state, const Service &service) const
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -14,8 +14,10 @@
 {
 
 constexpr Milliseconds DrainCheckInterval {20};
-/// Callers and other nodes have this long to hear that the node leaves before it exits.
+/// Without work for this long, a draining node exits; the next request of a caller would have come by then.
 constexpr Milliseconds DrainQuietTime {500};
+/// After a shorter pause, connections to the platform have not been given up by the other end.
+constexpr Milliseconds RereadAfterPause {1'500};
 constexpr Milliseconds PauseCheckInterval {100};
 
 Incarnation startTimeAsIncarnation(const Clock &clock)
@@ -39,7 +41,7 @@
 
 } // namespace
 
-Node::Node(Loop &loop, const Clock &clock, NodeSettings settings)
+Node::Node(Loop &loop, const Clock &clock, NodeSettings settings, const ControlPlaneFactory &makeControl)
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(std::move(settings))
@@ -51,10 +53,11 @@
     , m_metrics(clock)
     , m_links(loop, clock, LinkIdentity {m_settings.self.host, m_incarnation},
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
-    , m_control(loop, clock, m_settings, m_incarnation, m_links, m_metrics)
+    , m_controlPlane(makeControl(ControlContext {loop, clock, m_settings, m_incarnation, m_links, m_metrics}))
+    , m_control(*m_controlPlane)
     , m_target(loop, clock, m_control, m_control,
-               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_metrics,
-               [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
+               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_settings.calls,
+               m_metrics, [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
     , m_callServer(m_target, clock, m_pauseGuard, m_settings.calls.maxRequestBytes)
     , m_entry(
           EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient, m_metrics},
@@ -143,17 +146,27 @@
 {
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
     m_drainBegan = m_clock.now();
-    m_callerServer.stopAccepting();
     m_control.beginDrain();
-    m_entry.beginDrain();
     m_target.beginDrain();
     m_drainTimer.startRepeating(DrainCheckInterval);
 }
 
 void Node::checkDrained()
 {
+    const Duration since = m_clock.now() - m_drainBegan;
+    const DrainSettings &drain = m_settings.drain;
+    if (drain.grace.count() > 0 && since >= drain.grace) {
+        m_loop.stop();
+        return;
+    }
+    // Callers that have not yet heard that the node leaves are served as before.
+    if (since + DrainQuietTime < drain.linger) {
+        return;
+    }
+    m_callerServer.stopAccepting();
+    m_entry.beginDrain();
     const bool busy = m_entry.open() > 0 || m_target.core().accepted() > 0 || m_callerServer.open() > 0;
-    if (busy || m_links.hasPending()) {
+    if (busy || m_links.hasPending() || since < drain.linger) {
         return;
     }
     const TimePoint last = std::max({m_drainBegan, m_entry.lastActivity(), m_target.lastArrival()});
@@ -176,6 +189,9 @@
     if (const auto pause = m_pauseGuard.observe(m_clock.now())) {
         const auto length = std::chrono::duration_cast<Milliseconds>(*pause);
         logEvent(Event::PauseEnded, {{"ms", std::to_string(length.count())}});
+        if (*pause >= RereadAfterPause) {
+            m_control.onPause();
+        }
     }
 }
 
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -3,7 +3,6 @@
 
 #include "jasminemast/config/checkpoint.h"
 #include "jasminemast/config/ticketcheck.h"
-#include "jasminemast/node/fleetstatus.h"
 
 #include <nlohmann/json.hpp>
 
@@ -27,7 +26,7 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlTask &control,
+OperatorApi::OperatorApi(Loop &loop, const Clock &clock, const NodeSettings &settings, const ControlPlane &control,
                          Metrics &metrics, std::function<void()> updateGauges)
     : m_clock(clock)
     , m_settings(settings)
@@ -53,7 +52,7 @@
         exchange->respond(StatusOk, JsonHeaders, checkJson(exchange->request().body));
     } else if (path == "/v1/checkpoint") {
         respondCheckpoint(*exchange);
-    } else if (path == "/v1/ready") {
+    } else if (path == "/v1/ready" || path == m_settings.readyPath) {
         const bool ready = m_control.isReady();
         exchange->respond(ready ? StatusOk : StatusUnavailable, JsonHeaders, ready ? "true\n" : "false\n");
     } else if (path == "/metrics") {
@@ -76,8 +75,8 @@
     json["stateDigest"] = state->stateDigest.hex();
     json["ready"] = m_control.isReady();
     json["degraded"] = m_control.readiness() == Readiness::Degraded;
-    json["acceptedNumber"] = m_control.log().target().number.value();
-    json["reader"] = m_control.core().isReader();
+    json["acceptedNumber"] = m_control.acceptedNumber().value();
+    json["reader"] = m_control.isReader();
     return toText(json);
 }
 
@@ -98,7 +97,7 @@
 
 std::string OperatorApi::checkpointJson() const
 {
-    const auto &entries = m_control.log().logbook().entries();
+    const auto &entries = m_control.logbook().entries();
     auto json = nlohmann::json::array();
     for (CheckpointValue &value : makeCheckpoint(*m_control.current(), {entries.begin(), entries.end()})) {
         json.push_back({{"key", std::move(value.key)}, {"value", std::move(value.value)}});
@@ -109,7 +108,7 @@
 std::string OperatorApi::fleetJson() const
 {
     auto json = nlohmann::json::parse(statusJson());
-    json["zones"] = fleetZones(m_control.core(), m_clock.now());
+    json["zones"] = m_control.zones(m_clock.now());
     return toText(json);
 }
 
--- /dev/null
+++ b/lib/node/registrytask.cpp
@@ -0,0 +1,224 @@
+// Reads the registry and makes each change a new immutable state.
+#include "jasminemast/node/registrytask.h"
+
+#include "jasminemast/support/events.h"
+
+#include <set>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::size_t LogbookEntries = 1'000; // as many as fit one status answer
+/// Vanished targets are looked at this often; short beside the grace that they have.
+constexpr Milliseconds ExpiryInterval {250};
+
+} // namespace
+
+RegistryTask::RegistryTask(const ControlContext &context, std::unique_ptr<RegistrySource> source)
+    : m_clock(context.clock)
+    , m_settings(context.settings)
+    , m_metrics(context.metrics)
+    , m_source(std::move(source))
+    , m_logbook(LogbookEntries)
+    , m_waiters(context.loop, context.clock)
+    , m_stepTimer(context.loop, [this] { step(); })
+    , m_expiryTimer(context.loop,
+                    [this] {
+                        m_follower.expire(m_clock.now());
+                        publish();
+                    })
+    , m_state(emptyState())
+{
+}
+
+void RegistryTask::start()
+{
+    m_expiryTimer.startRepeating(ExpiryInterval);
+    step();
+}
+
+void RegistryTask::beginDrain()
+{
+    m_draining = true;
+}
+
+void RegistryTask::onPause()
+{
+    // A watch that was under way may have died with the pause; the next one goes on from where it was.
+    m_source->cancel();
+    m_calling = false;
+    step();
+}
+
+void RegistryTask::observeNumber(const HostId & /*peer*/, TicketNumber /*number*/)
+{
+    // The own watch brings every configuration.
+}
+
+void RegistryTask::onFrame(const std::shared_ptr<Link> & /*link*/, ControlFrame /*type*/, std::string_view /*payload*/)
+{
+    throw ResultError(ResultCode::FrameMalformed, "control frames are not used with a registry");
+}
+
+void RegistryTask::onLinkDown(const std::shared_ptr<Link> & /*link*/)
+{
+}
+
+void RegistryTask::whenReached(TicketNumber number, TimePoint deadline, std::function<void(bool)> done)
+{
+    if (number <= m_state->number) {
+        done(true);
+        return;
+    }
+    m_waiters.add(number, deadline, std::move(done));
+}
+
+const HostView *RegistryTask::findHost(const HostId &host) const
+{
+    const auto found = m_hosts.find(host);
+    return found == m_hosts.end() ? nullptr : &found->second;
+}
+
+Readiness RegistryTask::readiness() const
+{
+    const bool knows = m_follower.isListed() && m_follower.configuration().has_value();
+    return knows && !m_draining ? Readiness::Ready : Readiness::Joining;
+}
+
+nlohmann::json RegistryTask::zones(TimePoint /*now*/) const
+{
+    // Nodes with a registry do not tell each other what they run.
+    return nlohmann::json::array();
+}
+
+void RegistryTask::step()
+{
+    if (m_calling) {
+        return;
+    }
+    const TimePoint now = m_clock.now();
+    const RegistryAction action = m_follower.next(now);
+    if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
+        m_stepTimer.start(wait->until - now);
+        return;
+    }
+    m_calling = true;
+    const auto handler = [this](RegistryAnswer answer) {
+        m_calling = false;
+        onAnswer(std::move(answer));
+    };
+    if (const auto *list = std::get_if<registryaction::List>(&action)) {
+        m_source->list(list->after, handler);
+        return;
+    }
+    const auto &watch = std::get<registryaction::Watch>(action);
+    m_source->watch(watch.revision, watch.wait, handler);
+}
+
+void RegistryTask::onAnswer(RegistryAnswer answer)
+{
+    noteSource(answer.code, answer.detail);
+    m_follower.onAnswer(std::move(answer), m_clock.now());
+    reportRefused();
+    publish();
+    step();
+}
+
+void RegistryTask::noteSource(ResultCode code, const std::string &detail)
+{
+    const bool isDown = code != ResultCode::Ok && code != ResultCode::RegistryHistoryGone;
+    if (code != ResultCode::Ok) {
+        m_metrics.count(Counter::PlatformFailures, code);
+    }
+    if (isDown != m_sourceDown) {
+        m_sourceDown = isDown;
+        logEvent(isDown ? Event::SourceDown : Event::SourceBack,
+                 {{"code", std::to_string(number(code))}, {"detail", detail}});
+    }
+}
+
+void RegistryTask::reportRefused()
+{
+    for (const RecordRefused &refused : m_follower.takeRefused()) {
+        m_metrics.count(Counter::InputRefused, refused.code);
+        logEvent(Event::RecordIgnored, {{"code", std::to_string(number(refused.code))}, {"detail", refused.detail}});
+    }
+}
+
+void RegistryTask::publish()
+{
+    // A configuration without a whole list of targets would refuse calls that can be served.
+    if (m_follower.changes() == m_published || !m_follower.isListed() || !m_follower.configuration()) {
+        return;
+    }
+    m_published = m_follower.changes();
+    const PublishedConfiguration &configuration = *m_follower.configuration();
+    State state = *m_state;
+    if (configuration.number != state.number) {
+        state.number = configuration.number;
+        state.ticketDigest = configuration.digest;
+        state.stateDigest = configuration.digest;
+        auto &routes = state.routes.edit();
+        routes.clear();
+        for (const Route &route : configuration.routes) {
+            routes.emplace(route.id, std::make_shared<const Route>(route));
+        }
+        state.routeIndex = std::make_shared<const RouteIndex>(state);
+        LogEntry entry;
+        entry.head = {configuration.number, configuration.digest};
+        entry.stateDigest = configuration.digest;
+        entry.inForceAt = m_clock.wallNow();
+        m_logbook.append(std::move(entry));
+        logEvent(Event::ConfigurationInForce,
+                 {{"number", std::to_string(configuration.number.value())},
+                  {"digest", configuration.digest.shortHex()},
+                  {"routes", std::to_string(configuration.routes.size())}});
+    }
+    publishTargets(state);
+    m_state = std::make_shared<const State>(std::move(state));
+    m_waiters.reached(m_state->number);
+}
+
+void RegistryTask::publishTargets(State &state)
+{
+    std::map<ServiceId, Service> services;
+    for (const ServiceId &id : m_follower.configuration()->services) {
+        services[id].id = id;
+    }
+    auto &endpoints = state.endpoints.edit();
+    endpoints.clear();
+    m_hosts.clear();
+    for (const auto &[id, known] : m_follower.targets()) {
+        const RegisteredTarget &target = known.target;
+        const auto service = services.find(target.service);
+        if (service == services.end() || !isUsable(target)) {
+            continue;
+        }
+        const HostId host(target.address.ip);
+        endpoints.emplace(
+            id,
+            std::make_shared<const Endpoint>(Endpoint {id, host, target.address.port, target.slots, target.draining}));
+        service->second.endpoints.push_back(id);
+        const auto region = m_settings.registry.regions.find(target.zone);
+        const RegionId regionId = region == m_settings.registry.regions.end() ? RegionId() : region->second;
+        m_hosts.insert_or_assign(
+            host, HostView {HostRecord {host, regionId, target.zone, target.address.ip}, HostState::Live});
+    }
+    auto &published = state.services.edit();
+    published.clear();
+    for (auto &[id, service] : services) {
+        published.emplace(id, std::make_shared<const Service>(std::move(service)));
+    }
+}
+
+bool RegistryTask::isUsable(const RegisteredTarget &target) const
+{
+    // Beside this node there is one target; another port of this host would be a service of the node itself.
+    const bool isHere = target.address.ip == m_settings.self.address;
+    return !isHere || m_settings.targetPort == 0 || target.address.port == m_settings.targetPort;
+}
+
+} // namespace jasminemast
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -11,13 +11,18 @@
 namespace
 {
 
-HttpHeaders requestHeaders(const OpenMessage &open, Milliseconds remaining)
+constexpr unsigned StatusMisdirected = 421;
+
+HttpHeaders requestHeaders(const OpenMessage &open, const HeaderNames &names, Milliseconds remaining)
 {
     HttpHeaders headers;
     for (const auto &[name, value] : open.headers) {
         headers.push_back({name, value});
     }
-    headers.push_back({"Jasminemast-Deadline-Ms", std::to_string(remaining.count())});
+    headers.push_back({names.deadline, std::to_string(remaining.count())});
+    if (!names.expectedEndpoint.empty()) {
+        headers.push_back({names.expectedEndpoint, open.endpoint.value()});
+    }
     headers.push_back({"Jasminemast-Ticket", std::to_string(open.ticket.value())});
     return headers;
 }
@@ -38,7 +43,8 @@
     HttpClientRequest transfer;
     transfer.method = m_open.method;
     transfer.url = request.url + m_open.target;
-    transfer.headers = requestHeaders(m_open, request.remaining);
+    m_names = request.headers;
+    transfer.headers = requestHeaders(m_open, m_names, request.remaining);
     transfer.body = std::move(m_requestBody);
     transfer.timeout = request.remaining;
     transfer.connectTimeout = std::min(transfer.connectTimeout, request.remaining);
@@ -93,6 +99,13 @@
 
 void TargetAttempt::onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
 {
+    m_judgement = judge(status, headers);
+    if (m_judgement == ResultCode::AnswerForeign) {
+        giveUpForeign();
+    }
+    if (m_judgement != ResultCode::Ok) {
+        return;
+    }
     HeadMessage head;
     head.status = status;
     for (const HttpHeader &header : endToEndHeaders(headers)) {
@@ -104,8 +117,40 @@
     m_sink->head(head);
 }
 
+ResultCode TargetAttempt::judge(unsigned status, const HttpHeaders &headers) const
+{
+    const std::string *answered = m_names.requestId.empty() ? nullptr : findHeader(headers, m_names.requestId);
+    if (answered != nullptr) {
+        for (const auto &[name, value] : m_open.headers) {
+            if (equalHeaderNames(name, m_names.requestId) && value != *answered) {
+                return ResultCode::AnswerForeign;
+            }
+        }
+    }
+    if (!m_names.expectedEndpoint.empty() && status == StatusMisdirected) {
+        return ResultCode::TargetReplaced;
+    }
+    if (!m_names.notRun.empty() && findHeader(headers, m_names.notRun) != nullptr) {
+        return ResultCode::TargetShed;
+    }
+    return ResultCode::Ok;
+}
+
+void TargetAttempt::giveUpForeign()
+{
+    // Whatever else comes on this connection belongs to nobody here.
+    if (const auto transfer = std::exchange(m_transfer, nullptr)) {
+        transfer->cancel();
+    }
+    const HttpClientResult result {ResultCode::AnswerForeign, "", true};
+    m_onDone(result, nullptr);
+}
+
 void TargetAttempt::onData(std::string_view bytes)
 {
+    if (m_judgement != ResultCode::Ok) {
+        return;
+    }
     if (m_recordWhole && m_record.size() + bytes.size() <= FenceLimits {}.maxKeptAnswer) {
         m_record.append(bytes);
     } else {
@@ -130,6 +175,10 @@
 void TargetAttempt::onDone(const HttpClientResult &result)
 {
     m_transfer = nullptr;
+    if (result.code == ResultCode::Ok && m_judgement != ResultCode::Ok) {
+        m_onDone({m_judgement, "", true}, nullptr);
+        return;
+    }
     m_onDone(result, result.code == ResultCode::Ok ? kept() : nullptr);
 }
 
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -56,12 +56,13 @@
 };
 
 TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-                       TargetSideIdentity identity, Metrics &metrics, Announcer announcer)
+                       TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer)
     : m_loop(loop)
     , m_clock(clock)
     , m_config(config)
     , m_fleet(fleet)
     , m_identity(std::move(identity))
+    , m_settings(settings)
     , m_announcer(std::move(announcer))
     , m_http(loop, MaxTargetConnections)
     , m_probes(loop)
@@ -70,7 +71,9 @@
     , m_probeTimer(loop, [this] { probeHealth(); })
 {
     scheduleTick();
-    m_probeTimer.startRepeating(ProbeInterval);
+    if (m_settings.probeTargets) {
+        m_probeTimer.startRepeating(ProbeInterval);
+    }
 }
 
 std::unique_ptr<AttemptHandle> TargetSide::open(const OpenMessage &open, std::string body,
@@ -155,7 +158,7 @@
     // The deadline is in the future, and a transfer without a timeout would never end.
     const auto remaining
         = std::max(std::chrono::duration_cast<Milliseconds>(start.deadline - m_clock.now()), Milliseconds(1));
-    attempt->start(m_http, TargetRequest {urlOf(start.endpoint), remaining},
+    attempt->start(m_http, TargetRequest {urlOf(start.endpoint), remaining, m_settings.headers},
                    [this, id = start.attempt](const HttpClientResult &result, std::shared_ptr<const KeptAnswer> kept) {
                        onDone(id, result, std::move(kept));
                    });
@@ -172,10 +175,12 @@
         const auto sink = m_attempts.at(attempt)->sink();
         perform(m_core.onAnswered(attempt, std::move(answer), now));
         sink->end(ResultCode::Ok, "");
+    } else if (isNotRun(result.code)) {
+        perform(m_core.onNotRun(attempt, result.code, now));
     } else if (result.requestSent) {
         perform(m_core.onLost(attempt, result.code, now));
     } else {
-        perform(m_core.onNotSent(attempt, now));
+        perform(m_core.onNotRun(attempt, ResultCode::TargetUnreachable, now));
     }
     dropEnded(attempt);
 }
--- a/lib/settings/jsonreader.cpp
+++ b/lib/settings/jsonreader.cpp
@@ -16,6 +16,7 @@
 constexpr std::uint64_t MaxPort = 65'535;
 constexpr const char *Required = "required";
 constexpr const char *IpAddressRange = "an IPv4 address in dotted form";
+constexpr const char *SocketAddressRange = "IP:PORT";
 constexpr const char *UrlRange = "http://ADDRESS:PORT without a path";
 
 std::string stringRange()
@@ -164,6 +165,20 @@
     return static_cast<std::uint16_t>(number(key, 1, MaxPort));
 }
 
+SocketAddress JsonReader::socketAddress(const char *key, const SocketAddress &fallback)
+{
+    record(key, "string", SocketAddressRange, fallback.port == 0 ? "none" : fallback.toString());
+    if (find(key) == nullptr) {
+        return fallback;
+    }
+    const std::string text = readString(key);
+    const std::size_t colon = text.find(':');
+    if (colon == std::string::npos || !isIpAddress(text.substr(0, colon)) || !isPort(text.substr(colon + 1))) {
+        fail(ResultCode::SettingsOutOfRange, key, SocketAddressRange);
+    }
+    return {text.substr(0, colon), static_cast<std::uint16_t>(std::stoul(text.substr(colon + 1)))};
+}
+
 double JsonReader::real(const char *key, double least, double most, double fallback)
 {
     const std::string range = "a number from " + realText(least) + " to " + realText(most);
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -38,16 +38,83 @@
     return links;
 }
 
+HeaderNames readHeaders(JsonReader reader)
+{
+    HeaderNames headers;
+    headers.deadline = reader.string("deadline", headers.deadline);
+    headers.requestId = reader.string("requestId", headers.requestId);
+    headers.expectedEndpoint = reader.string("expectedEndpoint", headers.expectedEndpoint);
+    headers.callerService = reader.string("callerService", headers.callerService);
+    headers.notRun = reader.string("notRun", headers.notRun);
+    reader.finish();
+    return headers;
+}
+
+RegistrySettings readRegistry(JsonReader reader)
+{
+    RegistrySettings registry;
+    const SocketAddress address = reader.socketAddress("address", SocketAddress {});
+    registry.address = address.port == 0 ? std::string() : address.toString();
+    for (JsonReader &zone : reader.objects("zones")) {
+        const ZoneId id(zone.string("zone"));
+        registry.regions.emplace(id, RegionId(zone.string("region")));
+        zone.finish();
+    }
+    reader.finish();
+    return registry;
+}
+
+DrainSettings readDrain(JsonReader reader)
+{
+    DrainSettings drain;
+    drain.linger = reader.milliseconds("lingerMs", 0ms, 60'000ms, drain.linger);
+    drain.grace = reader.milliseconds("graceMs", 0ms, 600'000ms, drain.grace);
+    reader.finish();
+    return drain;
+}
+
+/// Reads "IP:PORT" under \p addressKey, or else the port of \p ip under \p portKey.
+std::uint16_t readPort(JsonReader &reader, const char *portKey, const char *addressKey, const std::string &ip)
+{
+    const SocketAddress address = reader.socketAddress(addressKey, SocketAddress {});
+    if (address.port == 0) {
+        return reader.port(portKey);
+    }
+    if (address.ip != ip) {
+        reader.fail(ResultCode::SettingsOutOfRange, addressKey, "the IP number of /address");
+    }
+    return address.port;
+}
+
 CallSettings readCalls(JsonReader reader)
 {
     constexpr std::uint64_t MostRequestBytes = 256U << 20U;
+    constexpr double MostRetryBurst = 10'000;
+    constexpr std::uint64_t MostFreeRefusals = 100;
     CallSettings calls;
     calls.maxRequestBytes = reader.number("maxRequestBytes", 1, MostRequestBytes, calls.maxRequestBytes);
     calls.defaultDeadline = reader.milliseconds("defaultDeadlineMs", 1ms, 600'000ms, calls.defaultDeadline);
+    calls.probeTargets = reader.boolean("probeTargets", calls.probeTargets);
+    calls.retryShare = reader.real("retryShare", 0, 1, calls.retryShare);
+    calls.retryBurst = reader.real("retryBurst", 0, MostRetryBurst, calls.retryBurst);
+    calls.freeRefusals
+        = static_cast<std::uint32_t>(reader.number("freeRefusals", 0, MostFreeRefusals, calls.freeRefusals));
+    calls.headers = readHeaders(reader.object("headers"));
     reader.finish();
     return calls;
 }
 
+void readTarget(JsonReader reader, NodeSettings &settings)
+{
+    const SocketAddress address = reader.socketAddress("address", SocketAddress {});
+    settings.targetPort = address.port;
+    if (address.port != 0) {
+        settings.targetAddress = address.ip;
+    }
+    settings.targetService = ServiceId(reader.string("service", ""));
+    reader.finish();
+}
+
 void checkPorts(const JsonReader &reader, const NodeSettings &settings)
 {
     if (settings.operatorPort == settings.callerPort) {
@@ -65,13 +132,19 @@
     JsonReader reader(parseSettingsJson(text), "", catalogue);
     NodeSettings settings;
     settings.self = readHost(reader);
-    settings.callerPort = reader.port("callerPort");
-    settings.operatorPort = reader.port("operatorPort");
+    settings.callerPort = readPort(reader, "callerPort", "callerAddress", settings.self.address);
+    settings.operatorPort = readPort(reader, "operatorPort", "operatorAddress", settings.self.address);
+    settings.readyPath = reader.string("readyPath", settings.readyPath);
     settings.linkPort = reader.port("linkPort");
-    settings.configSource = reader.url("configSource");
-    settings.hostList = reader.url("hostList");
-    settings.storeRegion = RegionId(reader.string("storeRegion"));
+    settings.registry = readRegistry(reader.object("registry"));
+    if (settings.registry.address.empty()) {
+        settings.configSource = reader.url("configSource");
+        settings.hostList = reader.url("hostList");
+        settings.storeRegion = RegionId(reader.string("storeRegion"));
+    }
     settings.targetAddress = reader.ipAddress("targetAddress", settings.self.address);
+    readTarget(reader.object("target"), settings);
+    settings.drain = readDrain(reader.object("drain"));
     for (JsonReader &seed : reader.objects("seeds")) {
         settings.seeds.push_back(readHost(seed));
         seed.finish();
--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -349,7 +349,7 @@
     switch (step.second % 8) {
     case 0:
         --m_ledger[attempt.call];
-        apply(index, target.core->onNotSent(attempt, now));
+        apply(index, target.core->onNotRun(attempt, ResultCode::TargetUnreachable, now));
         break;
     case 1:
         apply(index, target.core->onLost(attempt, ResultCode::OutcomeUnknown, now));
