--- a/include/jasminemast/node/controlplane.h
+++ b/include/jasminemast/node/controlplane.h
@@ -24,6 +24,8 @@
     virtual void start() = 0;
     /// Tells peers that this process takes no more work.
     virtual void beginDrain() = 0;
+    /// The settings that the plane was made with have changed.
+    virtual void onSettings() = 0;
     /// The process slept for a while: what it knows may be old.
     virtual void onPause() = 0;
     /// A message of \p peer named \p number.
--- a/include/jasminemast/node/controltask.h
+++ b/include/jasminemast/node/controltask.h
@@ -24,6 +24,10 @@
 
     void start() override;
     void beginDrain() override;
+    void onSettings() override
+    {
+        // What may change at run time concerns calls only.
+    }
     void onPause() override
     {
         // The core sees the gap between its own ticks.
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -42,6 +42,9 @@
     /// Takes one request; answers it in time, whatever happens.
     void handle(const std::shared_ptr<HttpExchange> &exchange);
 
+    /// Calls that begin from now on follow \p settings.
+    void applySettings(const NodeSettings &settings);
+
     /// Links that this node dialled.
     void onLinkUp(const std::shared_ptr<Link> &link);
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -10,6 +10,9 @@
 #include "jasminemast/node/targetside.h"
 #include "jasminemast/support/metrics.h"
 
+#include <filesystem>
+#include <string>
+
 namespace jasminemast
 {
 
@@ -22,6 +25,8 @@
     /// \p makeControl is called once, from here.
     Node(Loop &loop, const Clock &clock, NodeSettings settings, const ControlPlaneFactory &makeControl);
 
+    /// Takes over what changes in the settings file at \p path, upon SIGHUP and when its time of change moves.
+    void followSettings(const std::string &path);
     /// Runs until SIGTERM or SIGINT, and then until the accepted calls are answered.
     void run();
 
@@ -32,6 +37,8 @@
     void beginDrain();
     void checkDrained();
     void observeClock();
+    void reloadIfChanged();
+    void reload();
     /// Brings the gauges up to date before they are read.
     void updateGauges();
     void announce(const EndpointId &endpoint, bool leaving);
@@ -42,6 +49,10 @@
     /// Before everything that accepts work, so that no signal can end the process with work accepted.
     SignalWatcher m_terminate;
     SignalWatcher m_interrupt;
+    SignalWatcher m_hangUp;
+    std::string m_settingsPath; ///< empty: the settings stay as they are
+    std::filesystem::file_time_type m_settingsChangedAt;
+    Timer m_settingsTimer;
     Incarnation m_incarnation;
     Random m_random;
     PauseGuard m_pauseGuard;
--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -16,10 +16,14 @@
 class RegistryTask final : public ControlPlane
 {
 public:
-    RegistryTask(const ControlContext &context, std::unique_ptr<RegistrySource> source);
+    /// Makes the source for the registry at an address.
+    using SourceFactory = std::function<std::unique_ptr<RegistrySource>(const std::string &address)>;
+
+    RegistryTask(const ControlContext &context, SourceFactory makeSource);
 
     void start() override;
     void beginDrain() override;
+    void onSettings() override;
     void onPause() override;
     void observeNumber(const HostId &peer, TicketNumber number) override;
     void onFrame(const std::shared_ptr<Link> &link, ControlFrame type, std::string_view payload) override;
@@ -58,7 +62,9 @@
     const Clock &m_clock;
     const NodeSettings &m_settings;
     Metrics &m_metrics;
-    std::unique_ptr<RegistrySource> m_source;
+    SourceFactory m_makeSource;
+    std::string m_address; ///< of the registry that m_source reads
+    std::unique_ptr<RegistrySource> m_source; ///< never null
     RegistryFollower m_follower;
     Logbook m_logbook;
     TicketWaiters m_waiters;
--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -82,6 +82,10 @@
     LinkSettings links;
     CallSettings calls;
     SpreadSettings control;
+
+    /// Takes over from \p changed what a running node can change: calls, draining, the target's service and the
+    /// registry. Identity, ports, links and the way configuration spreads stay as they are.
+    void takeChangeable(const NodeSettings &changed);
 };
 
 /// Parses and checks settings.
--- a/lib/command/nodecommand.cpp
+++ b/lib/command/nodecommand.cpp
@@ -30,9 +30,10 @@
 /// Reads the platform's registry where the settings name one, and tickets otherwise.
 std::unique_ptr<ControlPlane> makeControlPlane(const ControlContext &context)
 {
-    const std::string &registry = context.settings.registry.address;
-    if (!registry.empty()) {
-        return std::make_unique<RegistryTask>(context, std::make_unique<platform::StoreClient>(context.loop, registry));
+    if (!context.settings.registry.address.empty()) {
+        return std::make_unique<RegistryTask>(context, [&loop = context.loop](const std::string &address) {
+            return std::make_unique<platform::StoreClient>(loop, address);
+        });
     }
     return std::make_unique<ControlTask>(context.loop, context.clock, context.settings, context.incarnation,
                                          context.links, context.metrics);
@@ -48,6 +49,7 @@
     Loop loop;
     const SystemClock clock;
     Node node(loop, clock, std::move(settings), &makeControlPlane);
+    node.followSettings(FLAGS_settings);
     node.run();
     return 0;
 }
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -116,6 +116,12 @@
 
 EntrySide::~EntrySide() = default;
 
+void EntrySide::applySettings(const NodeSettings &settings)
+{
+    m_settings = settings.calls;
+    m_headers = {settings.calls.headers, settings.targetService};
+}
+
 void EntrySide::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const TimePoint now = m_context.clock.now();
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -19,6 +19,8 @@
 /// After a shorter pause, connections to the platform have not been given up by the other end.
 constexpr Milliseconds RereadAfterPause {1'500};
 constexpr Milliseconds PauseCheckInterval {100};
+/// The settings file is looked at this often, for changes that no signal tells of.
+constexpr Milliseconds SettingsCheckInterval {1'000};
 
 Incarnation startTimeAsIncarnation(const Clock &clock)
 {
@@ -47,6 +49,8 @@
     , m_settings(std::move(settings))
     , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
     , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
+    , m_hangUp(loop, SIGHUP, [this] { reload(); })
+    , m_settingsTimer(loop, [this] { reloadIfChanged(); })
     , m_incarnation(startTimeAsIncarnation(clock))
     , m_random(std::random_device {}())
     , m_pauseGuard(PauseLimits {}, clock.now())
@@ -81,6 +85,42 @@
         [this](const HostId &peer, TicketNumber number) { m_control.observeNumber(peer, number); });
 }
 
+void Node::followSettings(const std::string &path)
+{
+    m_settingsPath = path;
+    std::error_code ignored; // a file that cannot be read now has no time of change, and is read once it can
+    m_settingsChangedAt = std::filesystem::last_write_time(path, ignored);
+    m_settingsTimer.startRepeating(SettingsCheckInterval);
+}
+
+void Node::reloadIfChanged()
+{
+    std::error_code failure;
+    const auto changedAt = std::filesystem::last_write_time(m_settingsPath, failure);
+    if (!failure && changedAt != m_settingsChangedAt) {
+        reload();
+    }
+}
+
+void Node::reload()
+{
+    if (m_settingsPath.empty()) {
+        return;
+    }
+    std::error_code ignored; // reading fails below for the same reason
+    m_settingsChangedAt = std::filesystem::last_write_time(m_settingsPath, ignored);
+    try {
+        const NodeSettings changed = readNodeSettings(m_settingsPath);
+        m_settings.takeChangeable(changed);
+    } catch (const ResultError &error) {
+        logEvent(Event::SettingsRefused, {{"code", std::to_string(number(error.code()))}, {"detail", error.detail()}});
+        return;
+    }
+    m_entry.applySettings(m_settings);
+    m_control.onSettings();
+    logEvent(Event::SettingsReloaded, {{"host", m_settings.self.host.value()}});
+}
+
 void Node::run()
 {
     m_control.start();
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -17,11 +17,13 @@
 
 } // namespace
 
-RegistryTask::RegistryTask(const ControlContext &context, std::unique_ptr<RegistrySource> source)
+RegistryTask::RegistryTask(const ControlContext &context, SourceFactory makeSource)
     : m_clock(context.clock)
     , m_settings(context.settings)
     , m_metrics(context.metrics)
-    , m_source(std::move(source))
+    , m_makeSource(std::move(makeSource))
+    , m_address(context.settings.registry.address)
+    , m_source(m_makeSource(m_address))
     , m_logbook(LogbookEntries)
     , m_waiters(context.loop, context.clock)
     , m_stepTimer(context.loop, [this] { step(); })
@@ -45,6 +47,18 @@
     m_draining = true;
 }
 
+void RegistryTask::onSettings()
+{
+    if (m_settings.registry.address == m_address) {
+        return;
+    }
+    m_address = m_settings.registry.address;
+    m_source = m_makeSource(m_address);
+    m_calling = false;
+    m_follower.refresh(m_clock.now());
+    step();
+}
+
 void RegistryTask::onPause()
 {
     // A watch that was under way may have died with the pause; the next one goes on from where it was.
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -127,6 +127,17 @@
 
 } // namespace
 
+void NodeSettings::takeChangeable(const NodeSettings &changed)
+{
+    calls = changed.calls;
+    drain = changed.drain;
+    targetService = changed.targetService;
+    // A node goes on reading the kind of source that it was started with.
+    if (registry.address.empty() == changed.registry.address.empty()) {
+        registry = changed.registry;
+    }
+}
+
 NodeSettings parseNodeSettings(std::string_view text, SettingCatalogue *catalogue)
 {
     JsonReader reader(parseSettingsJson(text), "", catalogue);
--- /dev/null
+++ b/unittests/registry/registryfollowertest.cpp
@@ -0,0 +1,206 @@
+// What a node makes of a registry that is slow, down, forgetful or repeats itself.
+#include "jasminemast/registry/registryfollower.h"
+
+#include <gtest/gtest.h>
+
+using namespace jasminemast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint Start {std::chrono::hours(1)};
+
+RegisteredTarget target(const std::string &id, std::uint64_t sequence, std::uint64_t revision, bool draining = false)
+{
+    RegisteredTarget result;
+    result.id = EndpointId(id);
+    result.service = ServiceId("s");
+    result.address = {"10.0.0.1", 80};
+    result.slots = 4;
+    result.draining = draining;
+    result.startedAt = 1'000;
+    result.sequence = sequence;
+    result.revision = Revision(revision);
+    return result;
+}
+
+PublishedConfiguration configuration(std::uint64_t number)
+{
+    PublishedConfiguration result;
+    result.number = TicketNumber(number);
+    return result;
+}
+
+RegistryAnswer answer(std::uint64_t revision, std::vector<RegistryRecord> records = {}, const std::string &next = "")
+{
+    RegistryAnswer result;
+    result.revision = Revision(revision);
+    result.records = std::move(records);
+    result.next = next;
+    return result;
+}
+
+RegistryAnswer failure(ResultCode code)
+{
+    RegistryAnswer result;
+    result.code = code;
+    return result;
+}
+
+/// A follower that has read one listing with the targets a and b.
+RegistryFollower listed()
+{
+    RegistryFollower follower;
+    follower.onAnswer(answer(10, {configuration(3), target("a", 1, 8), target("b", 1, 9)}), Start);
+    return follower;
+}
+
+template<class Action>
+bool isNext(const RegistryFollower &follower, TimePoint now)
+{
+    return std::holds_alternative<Action>(follower.next(now));
+}
+
+} // namespace
+
+TEST(RegistryFollowerTest, listsAllPagesAndThenWatchesFromTheFirst)
+{
+    RegistryFollower follower;
+    ASSERT_TRUE(isNext<registryaction::List>(follower, Start));
+    follower.onAnswer(answer(10, {configuration(3), target("a", 1, 8)}, "a"), Start);
+    EXPECT_FALSE(follower.isListed());
+    const RegistryAction page = follower.next(Start);
+    EXPECT_EQ(std::get<registryaction::List>(page).after, "a");
+    follower.onAnswer(answer(12, {target("b", 1, 12)}), Start);
+    EXPECT_TRUE(follower.isListed());
+    EXPECT_EQ(follower.targets().size(), 2U);
+    const RegistryAction watch = follower.next(Start);
+    EXPECT_EQ(std::get<registryaction::Watch>(watch).revision, Revision(10)) << "what moved between pages is not lost";
+}
+
+TEST(RegistryFollowerTest, removalSeenAgainDoesNotRemoveWhatReturned)
+{
+    // Between two pages a target was removed at 11 and registered again at 12; the second page showed the latter.
+    RegistryFollower follower;
+    follower.onAnswer(answer(10, {configuration(3)}, "0"), Start);
+    follower.onAnswer(answer(12, {target("a", 5, 12)}), Start);
+    follower.onAnswer(answer(12, {TargetRemoved {EndpointId("a"), Revision(11)}, target("a", 5, 12)}), Start);
+    EXPECT_TRUE(follower.targets().contains(EndpointId("a")));
+}
+
+TEST(RegistryFollowerTest, olderConfigurationNeverReplacesANewerOne)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {configuration(2)}), Start);
+    EXPECT_EQ(follower.configuration()->number, TicketNumber(3));
+    follower.refresh(Start);
+    follower.onAnswer(answer(9, {configuration(1)}), Start);
+    EXPECT_EQ(follower.configuration()->number, TicketNumber(3));
+}
+
+TEST(RegistryFollowerTest, olderReportNeverReplacesANewerOne)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {target("a", 7, 11, true)}), Start);
+    follower.onAnswer(answer(12, {target("a", 6, 12, false)}), Start);
+    EXPECT_TRUE(follower.targets().at(EndpointId("a")).target.draining);
+    follower.onAnswer(answer(13, {TargetRemoved {EndpointId("a"), Revision(13)}}), Start);
+    follower.onAnswer(answer(14, {target("a", 6, 14, false)}), Start);
+    EXPECT_FALSE(follower.targets().contains(EndpointId("a"))) << "a late report does not bring a target back";
+}
+
+TEST(RegistryFollowerTest, targetThatStartedAgainUnderItsIdIsTaken)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {target("a", 9, 11, true)}), Start);
+    RegisteredTarget again = target("a", 1, 12);
+    again.startedAt = 2'000;
+    follower.onAnswer(answer(12, {again}), Start);
+    EXPECT_FALSE(follower.targets().at(EndpointId("a")).target.draining);
+}
+
+TEST(RegistryFollowerTest, lostHistoryLeadsToAFreshListingInWhichTheMissingAreGone)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(failure(ResultCode::RegistryHistoryGone), Start);
+    ASSERT_TRUE(isNext<registryaction::List>(follower, Start));
+    EXPECT_EQ(follower.targets().size(), 2U) << "nothing is forgotten before the listing";
+    follower.onAnswer(answer(40, {configuration(5), target("b", 3, 30)}), Start);
+    EXPECT_EQ(follower.configuration()->number, TicketNumber(5));
+    EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
+}
+
+TEST(RegistryFollowerTest, watchIsShortEnoughToNoticeOneThatFellSilent)
+{
+    // Seen on scale-2 of crin-mast, seed 61561036: a watch of 20 s across a compaction missed a configuration.
+    const RegistryFollower follower = listed();
+    const RegistryAction watch = follower.next(Start);
+    constexpr Milliseconds StableWindow {3'000};
+    EXPECT_LT(std::get<registryaction::Watch>(watch).wait, StableWindow);
+}
+
+TEST(RegistryFollowerTest, whileTheRegistryIsDownNothingIsRemovedAndCallsGetRarer)
+{
+    RegistryFollower follower = listed();
+    TimePoint now = Start;
+    int calls = 0;
+    while (now < Start + 10s) {
+        const RegistryAction action = follower.next(now);
+        if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
+            now = wait->until;
+            continue;
+        }
+        ++calls;
+        follower.onAnswer(failure(ResultCode::RegistryUnreachable), now);
+    }
+    EXPECT_EQ(follower.targets().size(), 2U);
+    EXPECT_TRUE(follower.isDown());
+    EXPECT_LE(calls, 20);
+    EXPECT_GE(calls, 10) << "the return is noticed within a second";
+}
+
+TEST(RegistryFollowerTest, targetsThatLapsedDuringAnOutageHaveTimeToReturn)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(failure(ResultCode::RegistryUnreachable), Start);
+    const TimePoint back = Start + 5s;
+    follower.onAnswer(
+        answer(13, {TargetRemoved {EndpointId("a"), Revision(12)}, TargetRemoved {EndpointId("b"), Revision(13)}}),
+        back);
+    EXPECT_EQ(follower.targets().size(), 2U);
+    follower.onAnswer(answer(14, {target("a", 9, 14)}), back + 1s);
+    follower.expire(back + 1900ms);
+    EXPECT_EQ(follower.targets().size(), 2U);
+    follower.expire(back + 2s);
+    EXPECT_TRUE(follower.targets().contains(EndpointId("a")));
+    EXPECT_FALSE(follower.targets().contains(EndpointId("b"))) << "still missing after the grace: gone";
+}
+
+TEST(RegistryFollowerTest, leavingTargetThatVanishesDuringAnOutageIsGoneAtOnce)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {target("a", 2, 11, true)}), Start);
+    follower.onAnswer(failure(ResultCode::RegistryUnreachable), Start);
+    follower.onAnswer(answer(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + 1s);
+    EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
+}
+
+TEST(RegistryFollowerTest, unreadableRecordNamesNoTargetAndIsReported)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(
+        answer(11, {RecordRefused {ResultCode::RegistryRecordMalformed, "servers/a: state", EndpointId("a")}}), Start);
+    EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
+    EXPECT_TRUE(follower.targets().contains(EndpointId("b"))) << "the others hold";
+    EXPECT_EQ(follower.takeRefused().size(), 1U);
+    EXPECT_TRUE(follower.takeRefused().empty());
+}
+
+TEST(RegistryFollowerTest, changesInQuickSuccessionCostFewCalls)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {configuration(4)}), Start);
+    EXPECT_TRUE(isNext<registryaction::Wait>(follower, Start));
+    EXPECT_TRUE(isNext<registryaction::Watch>(follower, Start + 500ms));
+}
