[call] order the queue by priority and usefulness; leave full targets alone

Ruled out: a longer queue (waits longer than the target latency leaves). Change: Admission orders by priority, then by whether the answer is still useful, and refuses the last of that order; CallerAge reads from the deadline how long a caller has waited; Choice passes over targets that were just reported full; a refused caller whose answer is late anyway is asked to stay away for longer.

--- a/include/jasminemast/call/admission.h
+++ b/include/jasminemast/call/admission.h
@@ -20,6 +20,13 @@
     Duration initialServiceTime = std::chrono::milliseconds(10); ///< estimate before any request has ended
 };
 
+/// Who goes first when slots are short.
+struct AdmissionRank
+{
+    unsigned priority = 0; ///< of the route; 0 is the most urgent
+    TimePoint usefulUntil = TimePoint::max(); ///< an answer after this has lost most of its worth to the caller
+};
+
 /// The attempt holds a slot: hand it to the target.
 struct AdmissionStart
 {
@@ -36,6 +43,10 @@
 
 /// Slots and queue of one endpoint.
 ///
+/// The queue is short, so that what waits can still be answered in useful time. In it go the more urgent before the
+/// less urgent, then those whose answer is still useful before those whose answer comes late anyway, then the longer
+/// waiting. When it is full, the last of that order is refused, which may be the one that arrives.
+///
 /// Invariants: at most `slots` attempts run (more only right after the number was lowered); an attempt waits only while
 /// all slots are taken; nothing starts after its deadline.
 class Admission
@@ -44,7 +55,7 @@
     explicit Admission(const AdmissionLimits &limits);
 
     /// An attempt arrived: starts it, queues it (no action) or refuses it.
-    AdmissionActions offer(const AttemptId &attempt, TimePoint deadline, TimePoint now);
+    AdmissionActions offer(const AttemptId &attempt, TimePoint deadline, TimePoint now, AdmissionRank rank = {});
     /// An attempt that ran \p served has ended and frees its slot.
     AdmissionActions release(const AttemptId &attempt, Duration served, TimePoint now);
     /// Takes a waiting attempt out of the queue; false when it is not there.
@@ -75,10 +86,14 @@
     {
         AttemptId attempt;
         TimePoint deadline;
+        AdmissionRank rank;
     };
 
+    [[nodiscard]] static bool goesBefore(const Waiting &left, const Waiting &right, TimePoint now);
     [[nodiscard]] std::size_t queueLimit() const;
-    [[nodiscard]] TimePoint expectedStart(TimePoint now) const;
+    /// When an attempt with \p ahead others before it would start.
+    [[nodiscard]] TimePoint expectedStart(std::size_t ahead, TimePoint now) const;
+    void refuseLast(AdmissionActions &actions, TimePoint now);
     void startWaiting(AdmissionActions &actions, TimePoint now);
 
     AdmissionLimits m_limits;
--- a/include/jasminemast/call/attempt.h
+++ b/include/jasminemast/call/attempt.h
@@ -48,6 +48,8 @@
     LinkGeneration generation; ///< link that carries this message
     Microseconds remaining {0}; ///< time left until the deadline when the message was sent
     bool repeatable = false;
+    unsigned priority = 0; ///< of the route; 0 is the most urgent
+    Microseconds usefulFor = Microseconds::max(); ///< time left in which an answer has its full worth to the caller
 };
 
 /// Asks what became of an attempt whose link was lost, and refuses the attempt for good if it never arrived.
--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -23,6 +23,9 @@
     double slowStartFloor = 0.1; ///< share of a cold endpoint at first
     Duration leavingLifetime = std::chrono::seconds(5); ///< age at which an announcement to leave is forgotten
     Duration reportLifetime = std::chrono::seconds(1); ///< age at which a load report is forgotten
+    double fullAt = 1.95; ///< load at which slots and queue are full: another attempt would be refused
+    /// For how long an endpoint is taken for full; by then a good part of its slots has been freed once.
+    Duration fullLifetime = std::chrono::milliseconds(100);
     double failureRateToEject = 0.4; ///< smoothed; reached by four failures in a row
     double failureRateToForgive = 0.1; ///< smoothed; below it the next ejection is a first one again
     Duration ejectFor = std::chrono::seconds(1); ///< first ejection; doubled each time
@@ -59,7 +62,7 @@
     /// Replaces the candidates; what is known of those that stay is kept.
     void setCandidates(std::vector<Candidate> candidates, TimePoint now);
 
-    /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable.
+    /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable or all are full.
     std::optional<EndpointId> pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random);
 
     /// The host of a candidate; nothing when there is none of that id.
@@ -101,6 +104,8 @@
     [[nodiscard]] double load(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double score(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double warmth(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] bool isFull(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Group withRoom(const Group &group, TimePoint now) const;
     [[nodiscard]] bool overloaded(const Group &near, bool spilling, TimePoint now) const;
     void considerEjection(Endpoint &endpoint, TimePoint now);
 
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -43,6 +43,8 @@
     TicketNumber ticket; ///< configuration that the asking node routed by
     EndpointId endpoint;
     bool repeatable = false;
+    std::uint32_t priority = 0; ///< of the route; 0 is the most urgent
+    std::int32_t usefulMs = INT32_MAX; ///< time left in which an answer has its full worth; negative: it comes late
     std::string method;
     std::string target; ///< path and query
     HeaderFields headers;
@@ -51,7 +53,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable);
+        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable, priority, usefulMs);
         archive(method, target, headers, bodyBytes);
     }
 };
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -41,13 +41,20 @@
     Milliseconds retryAfter {0}; ///< when a call that was not run may be sent again
 };
 
+/// Times of one call.
+struct EntryTimes
+{
+    TimePoint began;
+    TimePoint usefulUntil; ///< as in CallSpec
+};
+
 /// The request and answer of one call.
 class EntryCall
 {
 public:
     /// \p headers outlives the call.
     EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route, const CallHeaders &headers,
-              TimePoint began);
+              EntryTimes times);
 
     /// The message that opens \p request's attempt.
     [[nodiscard]] OpenMessage makeOpen(const OpenRequest &request) const;
@@ -57,7 +64,11 @@
     }
     [[nodiscard]] TimePoint began() const
     {
-        return m_began;
+        return m_times.began;
+    }
+    [[nodiscard]] TimePoint usefulUntil() const
+    {
+        return m_times.usefulUntil;
     }
     [[nodiscard]] HttpExchange &exchange() const
     {
@@ -78,7 +89,7 @@
     StatePtr m_state; ///< the configuration that the call began with
     const Route *m_route; ///< in m_state
     const CallHeaders &m_headers;
-    TimePoint m_began;
+    EntryTimes m_times;
     std::shared_ptr<AttemptHandle> m_handle; ///< attempt under way
     bool m_headPassed = false;
 };
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -1,6 +1,7 @@
 // The side of a node that callers talk to: carries out what EntryCore decides for their calls.
 #pragma once
 
+#include "jasminemast/call/callerage.h"
 #include "jasminemast/call/entry.h"
 #include "jasminemast/call/pauseguard.h"
 #include "jasminemast/call/split.h"
@@ -86,7 +87,8 @@
     [[nodiscard]] std::shared_ptr<Link> linkTo(const HostId &host) const;
     void followConfiguration();
     [[nodiscard]] std::vector<Candidate> candidatesOf(const State &state, const Service &service) const;
-    [[nodiscard]] Refusal refusal();
+    /// What to tell a refused caller; \p usefulUntil as in CallSpec.
+    [[nodiscard]] Refusal refusal(TimePoint usefulUntil);
     void tick();
     /// Ticks often while there is work and seldom otherwise.
     void scheduleTick();
@@ -97,6 +99,7 @@
     CallSettings m_settings;
     CallHeaders m_headers;
     RouteSplit m_split;
+    CallerAge m_callerAge;
     Random m_random;
     EntryCore m_core;
     std::map<CallId, std::unique_ptr<EntryCall>> m_calls; ///< exactly the open calls of m_core
--- a/lib/call/admission.cpp
+++ b/lib/call/admission.cpp
@@ -27,13 +27,22 @@
     return static_cast<std::size_t>(std::lround(m_limits.queuePerSlot * m_limits.slots));
 }
 
-TimePoint Admission::expectedStart(TimePoint now) const
+TimePoint Admission::expectedStart(std::size_t ahead, TimePoint now) const
 {
-    const auto ahead = static_cast<Duration::rep>(m_queue.size() + 1);
-    return now + m_serviceTime * ahead / std::max(1U, m_limits.slots);
+    return now + m_serviceTime * static_cast<Duration::rep>(ahead + 1) / std::max(1U, m_limits.slots);
 }
 
-AdmissionActions Admission::offer(const AttemptId &attempt, TimePoint deadline, TimePoint now)
+bool Admission::goesBefore(const Waiting &left, const Waiting &right, TimePoint now)
+{
+    if (left.rank.priority != right.rank.priority) {
+        return left.rank.priority < right.rank.priority;
+    }
+    const bool leftIsUseful = now < left.rank.usefulUntil;
+    const bool rightIsUseful = now < right.rank.usefulUntil;
+    return leftIsUseful && !rightIsUseful;
+}
+
+AdmissionActions Admission::offer(const AttemptId &attempt, TimePoint deadline, TimePoint now, AdmissionRank rank)
 {
     AdmissionActions actions = expire(now);
     if (now >= deadline) {
@@ -46,18 +55,39 @@
         actions.emplace_back(AdmissionStart {attempt});
         return actions;
     }
-    if (m_queue.size() >= queueLimit()) {
+    const Waiting arrival {attempt, deadline, rank};
+    const auto isBehind = [&](const Waiting &waiting) {
+        return goesBefore(arrival, waiting, now);
+    };
+    const auto behind = static_cast<std::size_t>(std::count_if(m_queue.begin(), m_queue.end(), isBehind));
+    if (m_queue.size() >= queueLimit() && behind == 0) {
         actions.emplace_back(AdmissionRefuse {attempt, ResultCode::SlotsFull});
         return actions;
     }
-    if (expectedStart(now) >= deadline) {
+    if (expectedStart(m_queue.size() - behind, now) >= deadline) {
         actions.emplace_back(AdmissionRefuse {attempt, ResultCode::StartTooLate});
         return actions;
     }
-    m_queue.push_back({attempt, deadline});
+    m_queue.push_back(arrival);
+    if (m_queue.size() > queueLimit()) {
+        refuseLast(actions, now);
+    }
     return actions;
 }
 
+void Admission::refuseLast(AdmissionActions &actions, TimePoint now)
+{
+    // Of equals, the one that came last.
+    auto last = m_queue.begin();
+    for (auto place = m_queue.begin(); place != m_queue.end(); ++place) {
+        if (!goesBefore(*place, *last, now)) {
+            last = place;
+        }
+    }
+    actions.emplace_back(AdmissionRefuse {last->attempt, ResultCode::SlotsFull});
+    m_queue.erase(last);
+}
+
 AdmissionActions Admission::release(const AttemptId &attempt, Duration served, TimePoint now)
 {
     const std::size_t removed = m_running.erase(attempt);
@@ -104,10 +134,13 @@
 void Admission::startWaiting(AdmissionActions &actions, TimePoint now)
 {
     while (!m_queue.empty() && m_running.size() < m_limits.slots) {
-        const Waiting next = m_queue.front();
-        m_queue.pop_front();
+        const auto first
+            = std::min_element(m_queue.begin(), m_queue.end(), [now](const Waiting &left, const Waiting &right) {
+                  return goesBefore(left, right, now);
+              });
+        const Waiting next = *first;
+        m_queue.erase(first);
         assert(now < next.deadline && "expired attempts were removed before");
-        static_cast<void>(now);
         m_running.insert(next.attempt);
         actions.emplace_back(AdmissionStart {next.attempt});
     }
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -92,6 +92,23 @@
     return (load(endpoint, now) + 1 / slots) / warmth(endpoint, now);
 }
 
+bool Choice::isFull(const Endpoint &endpoint, TimePoint now) const
+{
+    const bool isFresh = endpoint.reportedAt && now - *endpoint.reportedAt <= m_limits.fullLifetime;
+    return isFresh && endpoint.reportedLoad >= m_limits.fullAt;
+}
+
+Choice::Group Choice::withRoom(const Group &group, TimePoint now) const
+{
+    Group result;
+    for (const Endpoint *endpoint : group) {
+        if (!isFull(*endpoint, now)) {
+            result.push_back(endpoint);
+        }
+    }
+    return result;
+}
+
 bool Choice::overloaded(const Group &near, bool spilling, TimePoint now) const
 {
     if (near.empty()) {
@@ -127,6 +144,10 @@
     if (near.empty() && !avoid.empty()) {
         near = group({}, now);
     }
+    near = withRoom(near, now);
+    if (near.empty()) {
+        near = withRoom(usable(Tier::Everywhere, avoid, now), now);
+    }
     if (near.empty()) {
         return std::nullopt;
     }
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -146,8 +146,11 @@
     attempt.target = peer.incarnation;
     attempt.generation = peer.generation;
     const auto remaining = std::chrono::duration_cast<Microseconds>(call.spec.deadline - now);
-    const OpenRequest request {attemptId(id, call), attempt.endpoint, attempt.target,
-                               attempt.generation,  remaining,        call.spec.repeatable};
+    const bool hasBound = call.spec.usefulUntil != TimePoint::max();
+    const Microseconds usefulFor
+        = hasBound ? std::chrono::duration_cast<Microseconds>(call.spec.usefulUntil - now) : Microseconds::max();
+    const OpenRequest request {attemptId(id, call), attempt.endpoint,     attempt.target,     attempt.generation,
+                               remaining,           call.spec.repeatable, call.spec.priority, usefulFor};
     actions.emplace_back(entryaction::SendOpen {attempt.host, request});
 }
 
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -73,7 +73,11 @@
         return actions;
     }
     m_accepted.emplace(attempt, Accepted {request.endpoint, now, deadline, request.repeatable, std::nullopt});
-    apply(endpoint.admission.offer(attempt, deadline, now), actions, now);
+    AdmissionRank rank {request.priority, TimePoint::max()};
+    if (request.usefulFor != Microseconds::max()) {
+        rank.usefulUntil = now + request.usefulFor;
+    }
+    apply(endpoint.admission.offer(attempt, deadline, now, rank), actions, now);
     return actions;
 }
 
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -64,6 +64,12 @@
     return options;
 }
 
+std::int32_t boundedMilliseconds(Microseconds time)
+{
+    const auto count = std::chrono::duration_cast<Milliseconds>(time).count();
+    return static_cast<std::int32_t>(std::clamp<std::int64_t>(count, INT32_MIN, INT32_MAX));
+}
+
 std::string secondsText(Milliseconds time)
 {
     std::ostringstream text;
@@ -122,12 +128,12 @@
 }
 
 EntryCall::EntryCall(std::shared_ptr<HttpExchange> exchange, StatePtr state, const Route *route,
-                     const CallHeaders &headers, TimePoint began)
+                     const CallHeaders &headers, EntryTimes times)
     : m_exchange(std::move(exchange))
     , m_state(std::move(state))
     , m_route(route)
     , m_headers(headers)
-    , m_began(began)
+    , m_times(times)
 {
 }
 
@@ -142,6 +148,8 @@
     open.ticket = m_state->number;
     open.endpoint = request.endpoint;
     open.repeatable = request.repeatable;
+    open.priority = request.priority;
+    open.usefulMs = boundedMilliseconds(request.usefulFor);
     open.method = http.method;
     open.target = http.target;
     const std::vector<std::string> dropped = connectionOptions(http.headers);
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -19,6 +19,8 @@
 /// A caller that was refused may return after between one and two of these: some requests have ended by then, and
 /// those who were refused together do not return together.
 constexpr Milliseconds RetryAfterStep {150};
+/// The same for a caller whose answer comes late anyway: it makes room for the others for longer.
+constexpr Milliseconds LateRetryAfterStep {450};
 constexpr unsigned LeastFailureStatus = 500;
 
 EntryLimits entryLimits(const CallSettings &settings)
@@ -142,7 +144,7 @@
         }
         m_context.metrics.count(Counter::CallsNotRun, ResultCode::TicketNotReached);
         respondWithoutAnswer(*exchange, m_headers.names, m_context.config.current()->number, Outcome::NotRun,
-                             ResultCode::TicketNotReached, refusal());
+                             ResultCode::TicketNotReached, refusal(TimePoint::max()));
     });
 }
 
@@ -156,7 +158,8 @@
         // Without any ticket this node cannot know what exists.
         const ResultCode code = state->number == TicketNumber(0) ? ResultCode::NotReady : ResultCode::NoRoute;
         m_context.metrics.count(Counter::CallsNotRun, code);
-        respondWithoutAnswer(*exchange, m_headers.names, state->number, Outcome::NotRun, code, refusal());
+        respondWithoutAnswer(*exchange, m_headers.names, state->number, Outcome::NotRun, code,
+                             refusal(TimePoint::max()));
         return;
     }
     CallSpec spec;
@@ -164,8 +167,15 @@
     spec.attempts = route->attempts;
     spec.repeatable = route->isRepeatable(request.method);
     spec.deadline = std::min(deadline, arrived + route->timeout);
+    spec.priority = route->priority;
+    const Duration waited = m_callerAge.observe(route->id, deadline - arrived, arrived);
+    if (route->targetLatency.count() > 0) {
+        spec.usefulUntil = arrived + route->targetLatency - waited;
+    }
     const EntryCore::Begun begun = m_core.begin(spec, m_context.clock.now());
-    m_calls.emplace(begun.call, std::make_unique<EntryCall>(exchange, state, route, m_headers, arrived));
+    m_calls.emplace(
+        begun.call,
+        std::make_unique<EntryCall>(exchange, state, route, m_headers, EntryTimes {arrived, spec.usefulUntil}));
     if (m_calls.size() == 1) {
         scheduleTick();
     }
@@ -315,13 +325,15 @@
     if (end.outcome == Outcome::Answered) {
         m_context.metrics.observe(Summary::CallDuration, now - call->began());
     }
-    call->finish(end.outcome, end.code, refusal());
+    call->finish(end.outcome, end.code, refusal(call->usefulUntil()));
 }
 
-Refusal EntrySide::refusal()
+Refusal EntrySide::refusal(TimePoint usefulUntil)
 {
-    const auto spread = static_cast<Milliseconds::rep>(m_random.below(RetryAfterStep.count()));
-    return {m_draining, RetryAfterStep + Milliseconds(spread)};
+    const bool isUseful = m_context.clock.now() < usefulUntil;
+    const Milliseconds step = isUseful ? RetryAfterStep : LateRetryAfterStep;
+    const auto spread = static_cast<Milliseconds::rep>(m_random.below(static_cast<std::uint64_t>(step.count())));
+    return {m_draining, step + Milliseconds(spread)};
 }
 
 std::vector<Candidate> EntrySide::candidatesOf(const State &state, const Service &service) const
--- a/unittests/call/outcometest.cpp
+++ b/unittests/call/outcometest.cpp
@@ -146,3 +146,55 @@
     ASSERT_NE(finishIn(actions), nullptr) << "as after a pause";
     EXPECT_EQ(finishIn(actions)->outcome, Outcome::NotRun);
 }
+
+TEST(CallMachineTest, failedAnswerIsTriedElsewhereOnlyWhenIdempotentAndWithinTheBudget)
+{
+    RetryBudget budget {RetryLimits {}};
+    CallMachine idempotent = waitingMachine(true, budget);
+    const CallActions actions = idempotent.step(callevent::AnswerFailed {1}, budget, Start);
+    ASSERT_EQ(actions.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<callaction::SendCancel>(actions[0]));
+    EXPECT_TRUE(std::holds_alternative<callaction::Choose>(actions[1]));
+
+    CallMachine once = waitingMachine(false, budget);
+    EXPECT_TRUE(once.step(callevent::AnswerFailed {1}, budget, Start).empty()) << "the answer is passed on";
+    EXPECT_EQ(finishIn(once.step(callevent::AnswerEnded {1}, budget, Start))->outcome, Outcome::Answered);
+
+    RetryLimits spent;
+    spent.maxTokens = 0;
+    RetryBudget none {spent};
+    CallMachine unpaid = waitingMachine(true, none);
+    EXPECT_TRUE(unpaid.step(callevent::AnswerFailed {1}, none, Start).empty()) << "the answer is passed on";
+    EXPECT_EQ(finishIn(unpaid.step(callevent::AnswerEnded {1}, none, Start))->outcome, Outcome::Answered);
+}
+
+TEST(CallMachineTest, routeBoundsTheTargetsThatGetACall)
+{
+    RetryBudget budget {RetryLimits {}};
+    CallMachine machine(true, Deadline, 2);
+    machine.start();
+    machine.step(callevent::EndpointChosen {}, budget, Start);
+    EXPECT_TRUE(choosesAgain(machine.step(callevent::Lost {1, ResultCode::OutcomeUnknown}, budget, Start)));
+    machine.step(callevent::EndpointChosen {}, budget, Start);
+    const CallActions actions = machine.step(callevent::Lost {2, ResultCode::OutcomeUnknown}, budget, Start);
+    ASSERT_NE(finishIn(actions), nullptr);
+    EXPECT_EQ(finishIn(actions)->stop, ResultCode::RetryAttemptsSpent);
+}
+
+TEST(CallMachineTest, refusalsByNodesCountNeitherAsAttemptNorAgainstTheBudgetWhileFree)
+{
+    RetryLimits limits;
+    limits.maxTokens = 0;
+    limits.freeRefusals = 3;
+    RetryBudget budget {limits};
+    CallMachine machine(false, Deadline, 1);
+    machine.start();
+    for (std::uint32_t attempt = 1; attempt <= 3; ++attempt) {
+        machine.step(callevent::EndpointChosen {}, budget, Start);
+        EXPECT_TRUE(choosesAgain(machine.step(callevent::Refused {attempt, ResultCode::SlotsFull}, budget, Start)));
+    }
+    machine.step(callevent::EndpointChosen {}, budget, Start);
+    const CallActions actions = machine.step(callevent::Refused {4, ResultCode::SlotsFull}, budget, Start);
+    ASSERT_NE(finishIn(actions), nullptr);
+    EXPECT_EQ(finishIn(actions)->outcome, Outcome::NotRun);
+}
--- /dev/null
+++ b/unittests/call/overloadtest.cpp
@@ -0,0 +1,189 @@
+// Plays overload against admission and counts what callers get: one target at 1.4 times what it can do, callers of two
+// priorities who come back twice after a refusal.
+#include "jasminemast/call/admission.h"
+#include "jasminemast/call/callerage.h"
+#include "jasminemast/support/random.h"
+
+#include <gtest/gtest.h>
+
+#include <map>
+#include <queue>
+
+using namespace jasminemast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint Start {std::chrono::hours(1)};
+constexpr unsigned Slots = 12;
+constexpr Duration ServiceTime = 200ms;
+constexpr Duration Aim = 600ms;
+constexpr Duration Patience = 4s;
+constexpr Duration Length = 20s;
+constexpr double Overload = 1.4;
+constexpr int Returns = 2;
+
+struct Caller
+{
+    unsigned priority = 0;
+    TimePoint began;
+    int returnsLeft = Returns;
+};
+
+struct Tally
+{
+    int asked = 0;
+    int inTime = 0;
+    int answered = 0;
+
+    [[nodiscard]] double share() const
+    {
+        return static_cast<double>(inTime) / asked;
+    }
+};
+
+/// One target and its callers on a test clock.
+class OverloadedTarget
+{
+public:
+    explicit OverloadedTarget(bool ranks)
+        : m_ranks(ranks)
+    {
+    }
+
+    std::map<unsigned, Tally> play()
+    {
+        const double perSecond = Overload * Slots / std::chrono::duration<double>(ServiceTime).count();
+        const Duration gap = std::chrono::duration_cast<Duration>(std::chrono::duration<double>(1 / perSecond));
+        for (TimePoint at = Start; at < Start + Length; at += gap) {
+            // One in three is of the more urgent kind.
+            const std::uint64_t id = ++m_lastId;
+            m_callers[id] = Caller {id % 3 == 0 ? 1U : 2U, at};
+            ++m_tallies[m_callers[id].priority].asked;
+            m_events.push({at, id, false});
+        }
+        while (!m_events.empty()) {
+            const Event event = m_events.top();
+            m_events.pop();
+            if (event.isEnd) {
+                end(event);
+            } else {
+                arrive(event);
+            }
+        }
+        return m_tallies;
+    }
+
+private:
+    struct Event
+    {
+        TimePoint at;
+        std::uint64_t id;
+        bool isEnd; ///< of a run; otherwise an arrival
+
+        bool operator<(const Event &other) const
+        {
+            return std::tie(other.at, other.id) < std::tie(at, id);
+        }
+    };
+
+    static AttemptId attempt(std::uint64_t id)
+    {
+        return {CallId {HostId("h"), Incarnation(1), id}, 1};
+    }
+
+    void arrive(const Event &event)
+    {
+        const Caller &caller = m_callers.at(event.id);
+        const TimePoint deadline = caller.began + Patience;
+        AdmissionRank rank;
+        if (m_ranks) {
+            const RouteId route(std::to_string(caller.priority));
+            const Duration waited = m_age.observe(route, deadline - event.at, event.at);
+            rank = {caller.priority, event.at + Aim - waited};
+        }
+        apply(m_admission.offer(attempt(event.id), deadline, event.at, rank), event.at);
+    }
+
+    void end(const Event &event)
+    {
+        const Caller &caller = m_callers.at(event.id);
+        Tally &tally = m_tallies[caller.priority];
+        ++tally.answered;
+        tally.inTime += event.at - caller.began <= Aim ? 1 : 0;
+        apply(m_admission.release(attempt(event.id), ServiceTime, event.at), event.at);
+    }
+
+    void apply(const AdmissionActions &actions, TimePoint now)
+    {
+        for (const AdmissionAction &action : actions) {
+            if (const auto *start = std::get_if<AdmissionStart>(&action)) {
+                m_events.push({now + ServiceTime, start->attempt.call.sequence, true});
+                continue;
+            }
+            const std::uint64_t id = std::get<AdmissionRefuse>(action).attempt.call.sequence;
+            Caller &caller = m_callers.at(id);
+            const Duration wait = Milliseconds(150 + m_random.below(150));
+            if (caller.returnsLeft-- > 0 && now + wait < caller.began + Patience) {
+                m_events.push({now + wait, id, false});
+            }
+        }
+    }
+
+    bool m_ranks;
+    Admission m_admission {AdmissionLimits {Slots, 1.0, ServiceTime}};
+    CallerAge m_age;
+    Random m_random {1};
+    std::uint64_t m_lastId = 0;
+    std::map<std::uint64_t, Caller> m_callers;
+    std::map<unsigned, Tally> m_tallies;
+    std::priority_queue<Event> m_events;
+};
+
+} // namespace
+
+TEST(OverloadTest, urgentCallersAreServedAndMoreCallersAreInTime)
+{
+    std::map<unsigned, Tally> plain = OverloadedTarget(false).play();
+    std::map<unsigned, Tally> ranked = OverloadedTarget(true).play();
+    EXPECT_GE(ranked[1].share(), 0.95) << "the urgent third fits and is served in time";
+    EXPECT_LT(plain[1].share(), 0.9) << "without ranks it is not";
+    const int plainInTime = plain[1].inTime + plain[2].inTime;
+    const int rankedInTime = ranked[1].inTime + ranked[2].inTime;
+    EXPECT_GE(rankedInTime, plainInTime);
+    // What the urgent third leaves of the capacity, over the demand of the others.
+    const double room = (1 / Overload - 1.0 / 3) / (2.0 / 3);
+    EXPECT_GE(ranked[2].share(), room * 2 / 3) << "the less urgent are not starved";
+    RecordProperty("plainInTime", plainInTime);
+    RecordProperty("rankedInTime", rankedInTime);
+}
+
+TEST(CallerAgeTest, whatADeadlineLacksIsTheTimeAlreadyWaited)
+{
+    CallerAge age;
+    const RouteId route("r");
+    EXPECT_EQ(age.observe(route, 4s, Start), 0s);
+    EXPECT_EQ(age.observe(route, 3300ms, Start + 1s), 700ms);
+    EXPECT_EQ(age.observe(RouteId("other"), 3300ms, Start + 1s), 0s);
+    EXPECT_EQ(age.observe(route, 2s, Start + 12s), 2s) << "remembered over the window's end";
+    EXPECT_EQ(age.observe(route, 2s, Start + 40s), 0s) << "callers may have changed since";
+}
+
+TEST(AdmissionRankTest, fullQueueKeepsTheMoreUrgent)
+{
+    const auto attempt = [](std::uint64_t id) {
+        return AttemptId {CallId {HostId("h"), Incarnation(1), id}, 1};
+    };
+    Admission admission(AdmissionLimits {1, 1.0, 10ms});
+    admission.offer(attempt(1), Start + 9s, Start, {2, Start + 1s});
+    admission.offer(attempt(2), Start + 9s, Start, {2, Start + 1s});
+    const AdmissionActions equal = admission.offer(attempt(3), Start + 9s, Start, {2, Start + 1s});
+    ASSERT_EQ(equal.size(), 1U);
+    EXPECT_EQ(std::get<AdmissionRefuse>(equal[0]).attempt, attempt(3)) << "of equals the later one is refused";
+    const AdmissionActions urgent = admission.offer(attempt(4), Start + 9s, Start, {1, Start + 1s});
+    ASSERT_EQ(urgent.size(), 1U);
+    EXPECT_EQ(std::get<AdmissionRefuse>(urgent[0]).attempt, attempt(2));
+    const AdmissionActions next = admission.release(attempt(1), 10ms, Start + 10ms);
+    EXPECT_EQ(std::get<AdmissionStart>(next.back()).attempt, attempt(4));
+}
--- a/unittests/config/statetest.cpp
+++ b/unittests/config/statetest.cpp
@@ -107,3 +107,30 @@
         RC_ASSERT(verdict.state->findRoute(method, path) == findPlainly(*verdict.state, method, path));
     }
 }
+
+TEST(RouteIndexTest, routesOfTheHostGoBeforeThoseOfAnyHost)
+{
+    State state;
+    const auto add = [&state](const char *id, const char *host, const char *prefix) {
+        Route route;
+        route.id = RouteId(id);
+        route.host = host;
+        route.pathPrefix = prefix;
+        state.routes.edit().emplace(route.id, std::make_shared<const Route>(route));
+    };
+    add("any", "", "/a/b/");
+    add("one", "one.example", "/a/");
+    add("oneDeep", "one.example", "/a/b/c/");
+    add("two", "two.example", "/a/");
+    const auto find = [&state](std::string_view host, std::string_view path) -> std::string {
+        const Route *route = state.findRoute("GET", path, host);
+        return route == nullptr ? "" : route->id.value();
+    };
+    EXPECT_EQ(find("one.example", "/a/b/x"), "one");
+    EXPECT_EQ(find("one.example", "/a/b/c/x"), "oneDeep");
+    EXPECT_EQ(find("two.example", "/a/b/c/x"), "two");
+    EXPECT_EQ(find("three.example", "/a/b/x"), "any");
+    EXPECT_EQ(find("three.example", "/a/x"), "");
+    EXPECT_EQ(find("", "/a/b/x"), "any");
+    EXPECT_EQ(find("one.exampl", "/a/x"), "") << "a host is matched whole";
+}
--- a/unittests/net/httpclienttest.cpp
+++ b/unittests/net/httpclienttest.cpp
@@ -285,5 +285,39 @@
     EXPECT_EQ(outcome.code, ResultCode::DeadlineExceeded);
 }
 
+TEST_F(HttpClientTest, handlerMayCancelItsOwnTransfer)
+{
+    const auto kept = std::make_shared<int>(7);
+    const std::weak_ptr<int> watched = kept;
+    std::shared_ptr<HttpTransfer> transfer;
+    int seen = 0;
+    HttpTransfer::Handlers handlers;
+    handlers.onHead = [&transfer, &seen, held = kept](unsigned, const HttpHeaders &, std::optional<std::uint64_t>) {
+        transfer->cancel();
+        seen = *held;
+    };
+    handlers.onData = [&seen](std::string_view) {
+        seen = -1;
+    };
+    handlers.onDone = [&seen](const HttpClientResult &) {
+        seen = -2;
+    };
+    transfer = m_client.start(request(), std::move(handlers));
+    std::string_view rest = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        if (!m_peer) {
+            Descriptor socket = m_listener.accept();
+            if (socket.isOpen()) {
+                m_peer = std::make_unique<TestPeer>(std::move(socket));
+            }
+        }
+        if (m_peer && m_peer->received("\r\n\r\n") && !rest.empty()) {
+            rest.remove_prefix(m_peer->write(rest));
+        }
+        return seen != 0;
+    }));
+    EXPECT_EQ(seen, 7) << "the handler's own data outlives the cancel, and nothing is called after it";
+}
+
 } // namespace
 } // namespace jasminemast
