[node] serve until the end of the drain; youngest target of an address; pass over silent hosts

Ruled out: the readiness page (503 at once on SIGTERM); the accept queue (connections were refused, not dropped).

--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -76,6 +76,9 @@
     /// The node beside the endpoint announced that it takes no new calls, or takes them again. The announcement is
     /// repeated while it holds, so a lost one is made good and a forgotten one costs one refused attempt.
     void setLeaving(const EndpointId &id, bool leaving, TimePoint now);
+    /// The link to \p host shows no sign of life, or shows one again. While other hosts can be chosen, a silent one
+    /// gets nothing.
+    void setSilent(const HostId &host, bool silent);
     /// The process on \p host was replaced: what was known of its endpoints is forgotten, and they start slowly.
     void setRestarted(const HostId &host, TimePoint now);
 
@@ -94,6 +97,7 @@
         double failureRate = 0; ///< smoothed share of attempts that failed
         unsigned ejections = 0; ///< since the endpoint was last forgiven
         std::optional<TimePoint> ejectedUntil;
+        bool silent = false; ///< its node shows no sign of life
     };
     enum class Tier : std::uint8_t { Zone, Region, Everywhere };
     using Group = std::vector<const Endpoint *>;
@@ -105,6 +109,7 @@
     [[nodiscard]] double score(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double warmth(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isFull(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] Group usableOf(Tier tier, const std::set<EndpointId> &avoid, TimePoint now, bool withSilent) const;
     [[nodiscard]] Group withRoom(const Group &group, TimePoint now) const;
     [[nodiscard]] bool overloaded(const Group &near, bool spilling, TimePoint now) const;
     void considerEjection(Endpoint &endpoint, TimePoint now);
--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -103,6 +103,9 @@
     /// Dialling failed. \p refused: the host answered that no process listens, so what ran there is gone.
     EntryActions onUnreachable(const HostId &host, bool refused, TimePoint now);
 
+    /// The link to \p host shows no sign of life although one is due, or shows one again.
+    void onSilence(const HostId &host, bool silent);
+
     EntryActions onRefused(const AttemptId &attempt, ResultCode code, TimePoint now);
     EntryActions onLost(const AttemptId &attempt, ResultCode code, TimePoint now);
     EntryActions onFenceReplied(const AttemptId &attempt, FenceStatus status, TimePoint now);
--- a/include/jasminemast/node/entryside.h
+++ b/include/jasminemast/node/entryside.h
@@ -89,6 +89,8 @@
     [[nodiscard]] std::vector<Candidate> candidatesOf(const State &state, const Service &service) const;
     /// What to tell a refused caller; \p usefulUntil as in CallSpec.
     [[nodiscard]] Refusal refusal(TimePoint usefulUntil);
+    /// Tells the core which links fell silent and which speak again.
+    void watchLinks();
     void tick();
     /// Ticks often while there is work and seldom otherwise.
     void scheduleTick();
@@ -101,6 +103,8 @@
     RouteSplit m_split;
     CallerAge m_callerAge;
     Random m_random;
+    Duration m_suspectAfter; ///< silence of a link on which a sign of life is due; one heartbeat and its answer fit in
+    std::set<HostId> m_silent; ///< hosts whose links are silent
     EntryCore m_core;
     std::map<CallId, std::unique_ptr<EntryCall>> m_calls; ///< exactly the open calls of m_core
     std::size_t m_waiting = 0; ///< requests that wait for a ticket before their call begins
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -77,6 +77,9 @@
     {
         return m_targets;
     }
+    /// The targets without those whose address a younger one has taken over: a target that crashed stays registered for
+    /// a while beside its successor.
+    [[nodiscard]] std::vector<RegisteredTarget> holders() const;
     /// True once one listing was read whole.
     [[nodiscard]] bool isListed() const
     {
--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -58,7 +58,8 @@
 /// How a node leaves after SIGTERM.
 struct DrainSettings
 {
-    Milliseconds linger {500}; ///< callers and peers have this long to hear that the node leaves
+    Milliseconds serve {0}; ///< for how long the target beside the node goes on taking calls
+    Milliseconds linger {500}; ///< callers have this long to hear that the node leaves; until then they are served
     Milliseconds grace {0}; ///< the node exits after this time, whatever is open; 0: once all is answered
 };
 
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -51,6 +51,13 @@
 }
 
 Choice::Group Choice::usable(Tier tier, const std::set<EndpointId> &avoid, TimePoint now) const
+{
+    Group reachable = usableOf(tier, avoid, now, false);
+    // When every host is silent, the fault may be on this side.
+    return reachable.empty() && tier == Tier::Everywhere ? usableOf(tier, avoid, now, true) : reachable;
+}
+
+Choice::Group Choice::usableOf(Tier tier, const std::set<EndpointId> &avoid, TimePoint now, bool withSilent) const
 {
     Group result;
     for (const auto &[id, endpoint] : m_endpoints) {
@@ -58,6 +65,9 @@
         if (tierOf(endpoint) > tier || endpoint.candidate.leaving || announced) {
             continue;
         }
+        if (endpoint.silent && !withSilent) {
+            continue;
+        }
         if (avoid.count(id) != 0 || (endpoint.ejectedUntil && now < *endpoint.ejectedUntil)) {
             continue;
         }
@@ -242,6 +252,15 @@
     }
 }
 
+void Choice::setSilent(const HostId &host, bool silent)
+{
+    for (auto &[id, endpoint] : m_endpoints) {
+        if (endpoint.candidate.host == host) {
+            endpoint.silent = silent;
+        }
+    }
+}
+
 void Choice::setRestarted(const HostId &host, TimePoint now)
 {
     for (auto &[id, endpoint] : m_endpoints) {
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -285,6 +285,13 @@
     return actions;
 }
 
+void EntryCore::onSilence(const HostId &host, bool silent)
+{
+    for (auto &[id, service] : m_services) {
+        service.choice.setSilent(host, silent);
+    }
+}
+
 EntryActions EntryCore::onRefused(const AttemptId &attempt, ResultCode code, TimePoint now)
 {
     EntryActions actions;
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -107,6 +107,7 @@
     , m_settings(settings.calls)
     , m_headers {settings.calls.headers, settings.targetService}
     , m_random(seed)
+    , m_suspectAfter(settings.links.heartbeatInterval * 2)
     , m_core(EntryPlace {settings.self.host, incarnation, settings.self.zone, settings.self.region},
              entryLimits(settings.calls), seed, context.metrics)
     , m_tickTimer(context.loop, [this] { tick(); })
@@ -301,6 +302,10 @@
     const auto up = m_up.find(host);
     if (up != m_up.end() && up->second == link) {
         m_up.erase(up);
+        // What is known of a lost link tells nothing of the next one; the failed attempts count as failures.
+        if (m_silent.erase(host) > 0) {
+            m_core.onSilence(host, false);
+        }
         perform(m_core.onLinkDown(host, now));
         return;
     }
@@ -375,10 +380,27 @@
     m_tickTimer.start(m_calls.empty() ? IdleTickInterval : TickInterval);
 }
 
+void EntrySide::watchLinks()
+{
+    const TimePoint now = m_context.clock.now();
+    for (const auto &[host, link] : m_up) {
+        const bool silent = link->expectsLife() && now - link->quietSince() > m_suspectAfter;
+        if (silent != m_silent.contains(host)) {
+            m_core.onSilence(host, silent);
+            if (silent) {
+                m_silent.insert(host);
+            } else {
+                m_silent.erase(host);
+            }
+        }
+    }
+}
+
 void EntrySide::tick()
 {
     followConfiguration();
     redial();
+    watchLinks();
     perform(m_core.tick(m_context.clock.now()));
     scheduleTick();
 }
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -187,8 +187,8 @@
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
     m_drainBegan = m_clock.now();
     m_control.beginDrain();
-    m_target.beginDrain();
     m_drainTimer.startRepeating(DrainCheckInterval);
+    checkDrained();
 }
 
 void Node::checkDrained()
@@ -199,18 +199,25 @@
         m_loop.stop();
         return;
     }
+    if (since >= drain.serve) {
+        m_target.beginDrain();
+    }
     // Callers that have not yet heard that the node leaves are served as before.
     if (since + DrainQuietTime < drain.linger) {
         return;
     }
-    m_callerServer.stopAccepting();
     m_entry.beginDrain();
+    if (since < drain.linger && drain.grace.count() > 0) {
+        return;
+    }
+    m_callerServer.stopAccepting();
     const bool busy = m_entry.open() > 0 || m_target.core().accepted() > 0 || m_callerServer.open() > 0;
     if (busy || m_links.hasPending() || since < drain.linger) {
         return;
     }
+    // With a bound on its leaving, a node has lingered for as long as it may.
     const TimePoint last = std::max({m_drainBegan, m_entry.lastActivity(), m_target.lastArrival()});
-    if (m_clock.now() - last >= DrainQuietTime) {
+    if (drain.grace.count() > 0 || m_clock.now() - last >= DrainQuietTime) {
         m_loop.stop();
     }
 }
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -198,6 +198,7 @@
 
 void RegistryTask::publishTargets(State &state)
 {
+
     std::map<ServiceId, Service> services;
     for (const ServiceId &id : m_follower.configuration()->services) {
         services[id].id = id;
@@ -205,17 +206,16 @@
     auto &endpoints = state.endpoints.edit();
     endpoints.clear();
     m_hosts.clear();
-    for (const auto &[id, known] : m_follower.targets()) {
-        const RegisteredTarget &target = known.target;
+    for (const RegisteredTarget &target : m_follower.holders()) {
         const auto service = services.find(target.service);
         if (service == services.end() || !isUsable(target)) {
             continue;
         }
         const HostId host(target.address.ip);
-        endpoints.emplace(
-            id,
-            std::make_shared<const Endpoint>(Endpoint {id, host, target.address.port, target.slots, target.draining}));
-        service->second.endpoints.push_back(id);
+        endpoints.emplace(target.id,
+                          std::make_shared<const Endpoint>(
+                              Endpoint {target.id, host, target.address.port, target.slots, target.draining}));
+        service->second.endpoints.push_back(target.id);
         const auto region = m_settings.registry.regions.find(target.zone);
         const RegionId regionId = region == m_settings.registry.regions.end() ? RegionId() : region->second;
         m_hosts.insert_or_assign(
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -198,6 +198,25 @@
     ++m_changes;
 }
 
+std::vector<RegisteredTarget> RegistryFollower::holders() const
+{
+    const auto age = [](const RegisteredTarget &target) {
+        return std::pair(target.startedAt, target.revision);
+    };
+    std::map<SocketAddress, RegisteredTarget> youngest;
+    for (const auto &[id, known] : m_targets) {
+        const auto [place, isFirst] = youngest.emplace(known.target.address, known.target);
+        if (!isFirst && age(place->second) < age(known.target)) {
+            place->second = known.target;
+        }
+    }
+    std::vector<RegisteredTarget> result;
+    for (auto &[address, target] : youngest) {
+        result.push_back(std::move(target));
+    }
+    return result;
+}
+
 void RegistryFollower::expire(TimePoint now)
 {
     std::vector<EndpointId> due;
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -67,6 +67,7 @@
 DrainSettings readDrain(JsonReader reader)
 {
     DrainSettings drain;
+    drain.serve = reader.milliseconds("serveMs", 0ms, 60'000ms, drain.serve);
     drain.linger = reader.milliseconds("lingerMs", 0ms, 60'000ms, drain.linger);
     drain.grace = reader.milliseconds("graceMs", 0ms, 600'000ms, drain.grace);
     reader.finish();
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -215,6 +215,37 @@
     }
 }
 
+TEST(ChoiceTest, silentHostsGetNothingWhileOthersAnswer)
+{
+    Choice choice(ZoneId("a"), RegionId("near"), {});
+    choice.setCandidates(sixEndpoints(), Start);
+    choice.setSilent(HostId("a1"), true);
+    EXPECT_EQ(picksByZone(choice, 100, Start), (std::map<char, int> {{'a', 100}}));
+    choice.setSilent(HostId("a2"), true);
+    EXPECT_EQ(picksByZone(choice, 100, Start).count('a'), 0U) << "the next zones take over";
+    for (const Candidate &candidate : sixEndpoints()) {
+        choice.setSilent(candidate.host, true);
+    }
+    EXPECT_EQ(picksByZone(choice, 100, Start).count('a'), 1U) << "all silent: the fault may be on this side";
+    choice.setSilent(HostId("a1"), false);
+    Random random(1);
+    EXPECT_EQ(choice.pick({}, Start, random), EndpointId("a1"));
+}
+
+TEST(ChoiceTest, fullEndpointsAreLeftAloneUntilRoomIsLikely)
+{
+    Choice choice(ZoneId("a"), RegionId("near"), {});
+    choice.setCandidates(sixEndpoints(), Start);
+    Random random(1);
+    for (const Candidate &candidate : sixEndpoints()) {
+        choice.reported(candidate.id, 2.0, Start);
+    }
+    EXPECT_FALSE(choice.pick({}, Start + 50ms, random)) << "what cannot be served is refused at once";
+    choice.reported(EndpointId("c1"), 1.5, Start);
+    EXPECT_EQ(choice.pick({}, Start + 50ms, random), EndpointId("c1"));
+    EXPECT_TRUE(choice.pick({}, Start + 200ms, random));
+}
+
 TEST(DrainTest, oneHealthPageLeavesAndThreeReturn)
 {
     Drain drain({});
--- a/unittests/registry/registryfollowertest.cpp
+++ b/unittests/registry/registryfollowertest.cpp
@@ -204,3 +204,21 @@
     EXPECT_TRUE(isNext<registryaction::Wait>(follower, Start));
     EXPECT_TRUE(isNext<registryaction::Watch>(follower, Start + 500ms));
 }
+
+TEST(RegistryFollowerTest, addressBelongsToTheYoungestTargetRegisteredThere)
+{
+    // Seen in the recorded incident of hvf-mesh: calls went to a crashed target's address and got 421 from its
+    // successor.
+    RegistryFollower follower = listed();
+    RegisteredTarget other = target("b", 1, 9);
+    other.address = {"10.0.0.2", 80};
+    RegisteredTarget successor = target("c", 1, 12);
+    successor.startedAt = 2'000;
+    follower.onAnswer(answer(12, {other, successor}), Start);
+    const std::vector<RegisteredTarget> holders = follower.holders();
+    ASSERT_EQ(holders.size(), 2U);
+    EXPECT_EQ(holders[0].id, EndpointId("c"));
+    EXPECT_EQ(holders[1].id, EndpointId("b"));
+    follower.onAnswer(answer(13, {TargetRemoved {EndpointId("c"), Revision(13)}}), Start);
+    EXPECT_EQ(follower.holders()[0].id, EndpointId("a"));
+}
