--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -65,9 +65,6 @@
     /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable or all are full.
     std::optional<EndpointId> pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random);
 
-    /// True when pick() would find an endpoint outside \p avoid.
-    [[nodiscard]] bool hasAlternative(const std::set<EndpointId> &avoid, TimePoint now) const;
-
     /// The host of a candidate; nothing when there is none of that id.
     [[nodiscard]] std::optional<HostId> hostOf(const EndpointId &id) const;
 
--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -1,7 +1,6 @@
 // The decisions of the node that a caller is connected to: endpoint, attempts, fences, and the outcome told.
 #pragma once
 
-#include "jasminemast/call/answertimes.h"
 #include "jasminemast/call/choice.h"
 #include "jasminemast/call/outcome.h"
 #include "jasminemast/call/retry.h"
@@ -142,7 +141,6 @@
         bool sent = false;
         bool fenceWaits = false; ///< a fence is to be sent once a newer link is up
         TimePoint chosenAt;
-        TimePoint sentAt;
         bool open = false; ///< counted as in flight at its endpoint
         bool failed = false; ///< the answer being passed on is a failure of the target
     };
@@ -159,7 +157,6 @@
     {
         Choice choice;
         RetryBudget budget;
-        AnswerTimes answerTimes;
     };
     /// The link to one host.
     struct Peer
@@ -178,9 +175,6 @@
     void sendCancel(const CallId &id, const Call &call, EntryActions &actions) const;
     void finish(const CallId &id, const callaction::Finish &end, EntryActions &actions);
     void closeAttempt(Call &call, AttemptEvidence evidence, TimePoint now);
-    void noteAnswerTime(const AttemptId &attempt, TimePoint now);
-    void awaitPatiently(const CallId &id, const Call &call, TimePoint now);
-    void leaveLate(EntryActions &actions, TimePoint now);
     void giveUpUnsent(TimePoint chosenUntil, EntryActions &actions, TimePoint now);
     void resolveUnsent(const CallId &id, EntryActions &actions, TimePoint now);
     void resumeOnLink(const CallId &id, const Peer &peer, EntryActions &actions, TimePoint now);
@@ -195,7 +189,6 @@
     std::map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_deadlines; ///< exactly the calls of m_calls
     std::set<std::pair<TimePoint, CallId>> m_unsent; ///< attempts that may still wait for a link, by chosenAt
-    std::set<std::pair<TimePoint, AttemptId>> m_late; ///< attempts whose answer is late from that time on
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_lastGeneration = 0; ///< over all hosts, so that it never repeats
     Metrics &m_metrics;
--- a/include/jasminemast/call/outcome.h
+++ b/include/jasminemast/call/outcome.h
@@ -51,11 +51,6 @@
 {
     std::uint32_t attempt;
 };
-/// The answer takes far longer than usual and another endpoint could be tried.
-struct AnswerLate
-{
-    std::uint32_t attempt;
-};
 /// The answer is whole.
 struct AnswerEnded
 {
@@ -91,9 +86,9 @@
 } // namespace callevent
 
 using CallEvent = std::variant<callevent::EndpointChosen, callevent::NoneUsable, callevent::NotSent, callevent::Refused,
-                               callevent::Lost, callevent::AnswerBegan, callevent::AnswerFailed, callevent::AnswerLate,
-                               callevent::AnswerEnded, callevent::LinkLost, callevent::LinkBack, callevent::PeerDead,
-                               callevent::FenceReplied, callevent::DeadlinePassed, callevent::CallerLeft>;
+                               callevent::Lost, callevent::AnswerBegan, callevent::AnswerFailed, callevent::AnswerEnded,
+                               callevent::LinkLost, callevent::LinkBack, callevent::PeerDead, callevent::FenceReplied,
+                               callevent::DeadlinePassed, callevent::CallerLeft>;
 
 /// What is to be done for a call.
 namespace callaction
@@ -172,7 +167,6 @@
     CallActions on(const callevent::Lost &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::AnswerBegan &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::AnswerFailed &event, RetryBudget &budget, TimePoint now);
-    CallActions on(const callevent::AnswerLate &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::AnswerEnded &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::LinkLost &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::LinkBack &event, RetryBudget &budget, TimePoint now);
@@ -183,7 +177,6 @@
 
     [[nodiscard]] bool awaits(std::uint32_t attempt) const;
     [[nodiscard]] RetryBudget::Request retryRequest(bool mayRepeat, ResultCode code) const;
-    CallActions leaveForAnother(ResultCode code);
     CallActions retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now);
     [[nodiscard]] Outcome unanswered() const;
     CallActions abandon(ResultCode code);
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -170,11 +170,6 @@
     return near[firstIsLighter ? first : second]->candidate.id;
 }
 
-bool Choice::hasAlternative(const std::set<EndpointId> &avoid, TimePoint now) const
-{
-    return !withRoom(usableOf(Tier::Everywhere, avoid, now, false), now).empty();
-}
-
 std::optional<HostId> Choice::hostOf(const EndpointId &id) const
 {
     const auto found = m_endpoints.find(id);
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -19,9 +19,8 @@
 {
     std::erase_if(m_services, [&services](const auto &item) { return services.count(item.first) == 0; });
     for (auto &[id, candidates] : services) {
-        auto [place, added] = m_services.try_emplace(id,
-                                                     Service {Choice(m_place.zone, m_place.region, m_limits.choice),
-                                                              RetryBudget(m_limits.retry), AnswerTimes {}});
+        auto [place, added] = m_services.try_emplace(
+            id, Service {Choice(m_place.zone, m_place.region, m_limits.choice), RetryBudget(m_limits.retry)});
         place->second.choice.setCandidates(std::move(candidates), now);
     }
 }
@@ -130,7 +129,7 @@
     }
     Choice &choice = service->second.choice;
     choice.began(*picked);
-    call.attempt = Attempt {*picked, *choice.hostOf(*picked), {}, {}, false, false, now, {}, true, false};
+    call.attempt = Attempt {*picked, *choice.hostOf(*picked), {}, {}, false, false, now, true, false};
     drive(id, callevent::EndpointChosen {}, AttemptEvidence::Neutral, actions, now);
 }
 
@@ -144,8 +143,6 @@
         return;
     }
     attempt.sent = true;
-    attempt.sentAt = now;
-    awaitPatiently(id, call, now);
     attempt.target = peer.incarnation;
     attempt.generation = peer.generation;
     const auto remaining = std::chrono::duration_cast<Microseconds>(call.spec.deadline - now);
@@ -330,7 +327,6 @@
 EntryActions EntryCore::onAnswerBegan(const AttemptId &attempt, TimePoint now)
 {
     EntryActions actions;
-    noteAnswerTime(attempt, now);
     drive(attempt.call, callevent::AnswerBegan {attempt.number}, AttemptEvidence::Neutral, actions, now);
     return actions;
 }
@@ -380,49 +376,6 @@
     return actions;
 }
 
-void EntryCore::noteAnswerTime(const AttemptId &attempt, TimePoint now)
-{
-    if (!awaits(attempt)) {
-        return;
-    }
-    const Call &call = m_calls.at(attempt.call);
-    const auto service = m_services.find(call.spec.service);
-    if (service != m_services.end()) {
-        service->second.answerTimes.observe(now - call.attempt.sentAt);
-    }
-}
-
-void EntryCore::awaitPatiently(const CallId &id, const Call &call, TimePoint now)
-{
-    const auto service = m_services.find(call.spec.service);
-    if (!call.spec.repeatable || service == m_services.end()) {
-        return;
-    }
-    const auto patience = service->second.answerTimes.patience();
-    // A second target needs about the usual time once more.
-    if (patience && now + *patience + service->second.answerTimes.mean() < call.spec.deadline) {
-        m_late.emplace(now + *patience, attemptId(id, call));
-    }
-}
-
-void EntryCore::leaveLate(EntryActions &actions, TimePoint now)
-{
-    while (!m_late.empty() && m_late.begin()->first <= now) {
-        const AttemptId attempt = m_late.begin()->second;
-        m_late.erase(m_late.begin());
-        if (!awaits(attempt)) {
-            continue;
-        }
-        const Call &call = m_calls.at(attempt.call);
-        const auto service = m_services.find(call.spec.service);
-        std::set<EndpointId> avoid = call.avoid;
-        avoid.insert(call.attempt.endpoint);
-        if (service != m_services.end() && service->second.choice.hasAlternative(avoid, now)) {
-            drive(attempt.call, callevent::AnswerLate {attempt.number}, AttemptEvidence::Failure, actions, now);
-        }
-    }
-}
-
 void EntryCore::resolveUnsent(const CallId &id, EntryActions &actions, TimePoint now)
 {
     const Call &call = m_calls.at(id);
@@ -447,7 +400,6 @@
 {
     EntryActions actions;
     giveUpUnsent(now - m_limits.connectPatience, actions, now);
-    leaveLate(actions, now);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const CallId id = m_deadlines.begin()->second;
         resolveUnsent(id, actions, now);
--- a/lib/call/outcome.cpp
+++ b/lib/call/outcome.cpp
@@ -139,23 +139,9 @@
         m_phase = Phase::Answering;
         return {};
     }
-    return leaveForAnother(ResultCode::AnswerFailed);
-}
-
-CallActions CallMachine::on(const callevent::AnswerLate &event, RetryBudget &budget, TimePoint now)
-{
-    const bool isWaiting = event.attempt == m_attempt && m_phase == Phase::Waiting;
-    if (!isWaiting || !m_repeatable || budget.refuse(retryRequest(true, ResultCode::AnswerLate), now)) {
-        return {};
-    }
-    return leaveForAnother(ResultCode::AnswerLate);
-}
-
-CallActions CallMachine::leaveForAnother(ResultCode code)
-{
     m_mayHaveRun = true;
     m_phase = Phase::Choosing;
-    return {callaction::SendCancel {m_attempt}, callaction::Choose {code}};
+    return {callaction::SendCancel {m_attempt}, callaction::Choose {ResultCode::AnswerFailed}};
 }
 
 CallActions CallMachine::on(const callevent::AnswerEnded &event, RetryBudget & /*budget*/, TimePoint /*now*/)
