--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -15,7 +15,7 @@
     /// Longest wait of one watch. A watch can fall silent for good without its connection ending, so this bounds how
     /// long a change is missed; each watch costs one registry call.
     Milliseconds watchWait {2'000};
-    Milliseconds changePause {400}; ///< pause after changes, so that those in quick succession cost one call
+    Milliseconds changePause {1'000}; ///< pause after changes, so that those in quick succession cost one call
     Milliseconds firstRetry {100}; ///< delay after the first failed call; doubled after each further one
     Milliseconds lastRetry {800}; ///< most delay; bounds how late a change is seen after an outage
     /// For how long targets that vanished during an outage of the registry may be registering anew after it.
