[net] close idle connections when a leaving node has lingered

Change: HttpServer::closeIdle() after the linger; what has arrived is read first. Test: HttpServerTest.ClosesIdleConnectionsAndAnswersOpenRequests.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 
@@ -124,8 +125,10 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
-    /// Stops accepting connections; open requests go on.
+    /// Stops accepting connections; open requests go on, and each connection ends with its answer.
     void stopAccepting();
+    /// Closes the connections on which no request is open. After stopAccepting() no request arrives any more.
+    void closeIdle();
     /// Requests whose answer has not gone out whole.
     [[nodiscard]] std::size_t open() const
     {
@@ -156,6 +159,7 @@
     bool m_quiesced = false; ///< takes no new connections and closes each after its answer
     bool m_stopping = false; ///< being destroyed: libmicrohttpd may not stop with a suspended request
     std::map<MHD_Connection *, std::shared_ptr<HttpExchange>> m_open; ///< requests that libmicrohttpd still knows
+    std::set<MHD_Connection *> m_connections; ///< open ones
 };
 
 } // namespace jasminemast
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -128,9 +128,13 @@
     static void onConnection(void *server, MHD_Connection *connection, void ** /*context*/,
                              MHD_ConnectionNotificationCode code)
     {
-        if (code == MHD_CONNECTION_NOTIFY_CLOSED) {
-            static_cast<HttpServer *>(server)->forgetConnection(connection);
+        auto *self = static_cast<HttpServer *>(server);
+        if (code == MHD_CONNECTION_NOTIFY_STARTED) {
+            self->m_connections.insert(connection);
+            return;
         }
+        self->m_connections.erase(connection);
+        self->forgetConnection(connection);
     }
 
     static void onCompleted(void *server, MHD_Connection *connection, void **context, MHD_RequestTerminationCode code)
@@ -400,6 +404,19 @@
     }
 }
 
+void HttpServer::closeIdle()
+{
+    // What has arrived already is read first.
+    run();
+    for (MHD_Connection *connection : m_connections) {
+        if (m_open.contains(connection)) {
+            continue;
+        }
+        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
+        ::shutdown(info->connect_fd, SHUT_RDWR);
+    }
+}
+
 void HttpServer::scheduleCloseWatch()
 {
     if (!m_closeWatchTimer.isActive()) {
--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -284,5 +284,31 @@
     EXPECT_NE(peer.read().find("Connection: close"), std::string::npos);
 }
 
+TEST_F(HttpServerTest, ClosesIdleConnectionsAndAnswersOpenRequests)
+{
+    // Seen with deploy/days/power-after-change.toml on hvf-mesh: a request on a kept connection, 4.7 s after SIGTERM,
+    // was cut when the grace time ended.
+    std::shared_ptr<HttpExchange> waiting;
+    start([&waiting](const std::shared_ptr<HttpExchange> &exchange) {
+        if (exchange->request().target == "/wait") {
+            waiting = exchange;
+        } else {
+            exchange->respond(200, {}, "");
+        }
+    });
+    TestPeer idle(m_address);
+    TestPeer busy(m_address);
+    runUntil(m_loop, [&] { return idle.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    EXPECT_TRUE(runUntil(m_loop, [&] { return idle.received("HTTP/1.1 200"); }));
+    runUntil(m_loop, [&] { return busy.write("GET /wait HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    EXPECT_TRUE(runUntil(m_loop, [&] { return waiting != nullptr; }));
+    m_server->stopAccepting();
+    m_server->closeIdle();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return idle.isOver(); }));
+    EXPECT_FALSE(busy.isOver());
+    waiting->respond(200, {}, "whole");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return busy.received("whole") && busy.isOver(); }));
+}
+
 } // namespace
 } // namespace jasminemast
