[call] take full targets for full only when a call was just refused for load

Cause: callfaulttest, terminatedNodesCutNoCall, failed once (606 of 3,600 calls: 503, 4002 no usable endpoint, log of 09:38): a call that a leaving target had refused found the others reported full up to 100 ms ago, though targets that take a millisecond have room again long before; it was refused without being offered to any. Ruled out: the drain (no call was cut; all were refused by the entry node); the silence of links. Change: full targets are passed over while others have room; they are refused unasked only to a call that was just refused for load.

--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -62,8 +62,15 @@
     /// Replaces the candidates; what is known of those that stay is kept.
     void setCandidates(std::vector<Candidate> candidates, TimePoint now);
 
-    /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable or all are full.
-    std::optional<EndpointId> pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random);
+    /// What a full endpoint is worth to a call.
+    enum class Room : std::uint8_t {
+        Preferred, ///< full endpoints are taken when there are no others: the report may be out of date
+        Needed, ///< the call was just refused for load: full endpoints are not asked
+    };
+
+    /// Picks an endpoint, one outside \p avoid where there is one; nothing when none is usable.
+    std::optional<EndpointId> pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random,
+                                   Room room = Room::Preferred);
 
     /// The host of a candidate; nothing when there is none of that id.
     [[nodiscard]] std::optional<HostId> hostOf(const EndpointId &id) const;
--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -53,7 +53,9 @@
 private:
     void step();
     void onAnswer(RegistryAnswer answer);
+    /// Makes what the follower knows the state in force, when it has changed.
     void publish();
+    void publishRoutes(State &state);
     void publishTargets(State &state);
     void reportRefused();
     void noteSource(ResultCode code, const std::string &detail);
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -148,15 +148,18 @@
     return spillsRegion ? usable(Tier::Everywhere, avoid, now) : region;
 }
 
-std::optional<EndpointId> Choice::pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random)
+std::optional<EndpointId> Choice::pick(const std::set<EndpointId> &avoid, TimePoint now, Random &random, Room room)
 {
     Group near = group(avoid, now);
     if (near.empty() && !avoid.empty()) {
         near = group({}, now);
     }
-    near = withRoom(near, now);
-    if (near.empty()) {
-        near = withRoom(usable(Tier::Everywhere, avoid, now), now);
+    Group roomy = withRoom(near, now);
+    if (roomy.empty()) {
+        roomy = withRoom(usable(Tier::Everywhere, avoid, now), now);
+    }
+    if (!roomy.empty() || room == Room::Needed) {
+        near = std::move(roomy);
     }
     if (near.empty()) {
         return std::nullopt;
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -116,12 +116,13 @@
 {
     Call &call = m_calls.at(id);
     const auto service = m_services.find(call.spec.service);
+    // An endpoint that refused for load would refuse the same call again at once.
+    const bool overloaded = reason == ResultCode::SlotsFull || reason == ResultCode::StartTooLate;
     std::optional<EndpointId> picked;
     if (service != m_services.end()) {
-        picked = service->second.choice.pick(call.avoid, now, m_random);
+        const Choice::Room room = overloaded ? Choice::Room::Needed : Choice::Room::Preferred;
+        picked = service->second.choice.pick(call.avoid, now, m_random, room);
     }
-    // An endpoint that refused for load would refuse the same call again at once.
-    const bool overloaded = reason == ResultCode::SlotsFull || reason == ResultCode::StartTooLate;
     const bool refusedBefore = overloaded && picked && call.avoid.count(*picked) != 0;
     if (!picked || refusedBefore) {
         drive(id, callevent::NoneUsable {call.lastRefusal}, AttemptEvidence::Neutral, actions, now);
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -3,8 +3,6 @@
 
 #include "jasminemast/support/events.h"
 
-#include <set>
-
 namespace jasminemast
 {
 
@@ -169,36 +167,40 @@
         return;
     }
     m_published = m_follower.changes();
-    const PublishedConfiguration &configuration = *m_follower.configuration();
     State state = *m_state;
-    if (configuration.number != state.number) {
-        state.number = configuration.number;
-        state.ticketDigest = configuration.digest;
-        state.stateDigest = configuration.digest;
-        auto &routes = state.routes.edit();
-        routes.clear();
-        for (const Route &route : configuration.routes) {
-            routes.emplace(route.id, std::make_shared<const Route>(route));
-        }
-        state.routeIndex = std::make_shared<const RouteIndex>(state);
-        LogEntry entry;
-        entry.head = {configuration.number, configuration.digest};
-        entry.stateDigest = configuration.digest;
-        entry.inForceAt = m_clock.wallNow();
-        m_logbook.append(std::move(entry));
-        logEvent(Event::ConfigurationInForce,
-                 {{"number", std::to_string(configuration.number.value())},
-                  {"digest", configuration.digest.shortHex()},
-                  {"routes", std::to_string(configuration.routes.size())}});
+    if (m_follower.configuration()->number != state.number) {
+        publishRoutes(state);
     }
     publishTargets(state);
     m_state = std::make_shared<const State>(std::move(state));
     m_waiters.reached(m_state->number);
 }
 
-void RegistryTask::publishTargets(State &state)
+void RegistryTask::publishRoutes(State &state)
 {
+    const PublishedConfiguration &configuration = *m_follower.configuration();
+    state.number = configuration.number;
+    state.ticketDigest = configuration.digest;
+    state.stateDigest = configuration.digest;
+    auto &routes = state.routes.edit();
+    routes.clear();
+    for (const Route &route : configuration.routes) {
+        routes.emplace(route.id, std::make_shared<const Route>(route));
+    }
+    state.routeIndex = std::make_shared<const RouteIndex>(state);
+    LogEntry entry;
+    entry.head = {configuration.number, configuration.digest};
+    entry.stateDigest = configuration.digest;
+    entry.inForceAt = m_clock.wallNow();
+    m_logbook.append(std::move(entry));
+    logEvent(Event::ConfigurationInForce,
+             {{"number", std::to_string(configuration.number.value())},
+              {"digest", configuration.digest.shortHex()},
+              {"routes", std::to_string(configuration.routes.size())}});
+}
 
+void RegistryTask::publishTargets(State &state)
+{
     std::map<ServiceId, Service> services;
     for (const ServiceId &id : m_follower.configuration()->services) {
         services[id].id = id;
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -211,6 +211,7 @@
         }
     }
     std::vector<RegisteredTarget> result;
+    result.reserve(youngest.size());
     for (auto &[address, target] : youngest) {
         result.push_back(std::move(target));
     }
