--- a/unittests/net/httpclienttest.cpp
+++ b/unittests/net/httpclienttest.cpp
@@ -31,6 +31,20 @@
         return made;
     }
 
+    /// Accepts the client's connection and, once its request is in, writes what is left of the answer in \p rest.
+    void answerRequest(std::string_view &rest)
+    {
+        if (!m_peer) {
+            Descriptor socket = m_listener.accept();
+            if (socket.isOpen()) {
+                m_peer = std::make_unique<TestPeer>(std::move(socket));
+            }
+        }
+        if (m_peer && m_peer->received("\r\n\r\n") && !rest.empty()) {
+            rest.remove_prefix(m_peer->write(rest));
+        }
+    }
+
     /// Starts a transfer, gives it \p answer and then closes the connection if \p close is set.
     Outcome exchange(HttpClientRequest made, std::string_view answer, bool close = true)
     {
@@ -44,15 +58,7 @@
                        });
         std::string_view rest = answer;
         EXPECT_TRUE(runUntil(m_loop, [&] {
-            if (!m_peer) {
-                Descriptor socket = m_listener.accept();
-                if (socket.isOpen()) {
-                    m_peer = std::make_unique<TestPeer>(std::move(socket));
-                }
-            }
-            if (m_peer && m_peer->received("\r\n\r\n") && !rest.empty()) {
-                rest.remove_prefix(m_peer->write(rest));
-            }
+            answerRequest(rest);
             if (m_peer && rest.empty() && close) {
                 m_peer = nullptr;
             }
@@ -305,15 +311,7 @@
     transfer = m_client.start(request(), std::move(handlers));
     std::string_view rest = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody";
     EXPECT_TRUE(runUntil(m_loop, [&] {
-        if (!m_peer) {
-            Descriptor socket = m_listener.accept();
-            if (socket.isOpen()) {
-                m_peer = std::make_unique<TestPeer>(std::move(socket));
-            }
-        }
-        if (m_peer && m_peer->received("\r\n\r\n") && !rest.empty()) {
-            rest.remove_prefix(m_peer->write(rest));
-        }
+        answerRequest(rest);
         return seen != 0;
     }));
     EXPECT_EQ(seen, 7) << "the handler's own data outlives the cancel, and nothing is called after it";
