[net] drop posted work before the libev loop goes

Cause: a link with frames to send is owned by the work that will flush it. When a loop ended with such work posted, the link's watcher was stopped after ev_loop_destroy, and libev's assertion aborted the process.

Ruled out: a link that outlives its pool with the loop running (the assertion names ev_io_stop on a loop without descriptors).

--- a/include/jasminemast/net/loop.h
+++ b/include/jasminemast/net/loop.h
@@ -19,6 +19,7 @@
 {
 public:
     Loop();
+    /// Drops posted work that has not run, and with it what only that work still owns.
     ~Loop();
     Loop(const Loop &) = delete;
     Loop &operator=(const Loop &) = delete;
@@ -38,6 +39,8 @@
 private:
     static void onPrepare(struct ev_loop *loop, ev_prepare *watcher, int events);
     void drainPosted();
+    /// Posted work may own watchers, which must be stopped while the libev loop exists.
+    void dropPosted();
 
     struct ev_loop *m_loop;
     ev_prepare m_prepare {};
--- a/lib/net/loop.cpp
+++ b/lib/net/loop.cpp
@@ -33,6 +33,7 @@
 
 Loop::~Loop()
 {
+    dropPosted();
     ev_ref(m_loop);
     ev_prepare_stop(m_loop, &m_prepare);
     ev_loop_destroy(m_loop);
@@ -69,6 +70,14 @@
     }
 }
 
+void Loop::dropPosted()
+{
+    while (!m_posted.empty()) {
+        std::vector<std::function<void()>> batch;
+        batch.swap(m_posted);
+    }
+}
+
 Timer::Timer(Loop &loop, std::function<void()> callback)
     : m_loop(loop)
     , m_callback(std::move(callback))
