[net] hold callers to the operator's limits: 431, 413, 408 and idle connections

Cause: the published limits were read and not applied; a header that trickled in held its connection for as long as it liked. Change: the limits are part of the state; the callers' server takes them at once for what begins from then on.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -11,7 +11,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 
@@ -88,7 +87,7 @@
     HttpRequest m_request;
     ResultCode m_refusal = ResultCode::Ok; ///< why the request never reaches the handler
     std::size_t m_droppedBytes = 0; ///< body bytes beyond the limit, read and dropped
-    bool m_dispatched = false;
+    bool m_dispatched = false; ///< the request is whole, or was refused
     bool m_suspended = false;
     bool m_responded = false;
     bool m_bodyPending = false; ///< beginBody() was called; the answer starts later in this loop iteration
@@ -105,9 +104,11 @@
 /// Bounds of a server.
 struct HttpServerLimits
 {
+    std::size_t maxHeadBytes = 64 << 10; ///< of the request line and the headers
     std::size_t maxBodyBytes = 1 << 20;
-    unsigned maxConnections = 4096;
-    std::chrono::seconds idleTimeout {120}; ///< an idle connection is closed after this time
+    unsigned maxConnections = 4096; ///< fixed at the start
+    Milliseconds headTimeout {10'000}; ///< from the request line to the end of the headers
+    Milliseconds idleTimeout {120'000}; ///< an idle connection, or a body that does not go on, ends after this time
 };
 
 /// Accepts connections and hands whole requests to a handler on the loop's thread.
@@ -125,6 +126,8 @@
     HttpServer(const HttpServer &) = delete;
     HttpServer &operator=(const HttpServer &) = delete;
 
+    /// Takes new bounds; they hold for requests that begin from now on.
+    void setLimits(const HttpServerLimits &limits);
     /// Stops accepting connections; open requests go on, and each connection ends with its answer.
     void stopAccepting();
     /// Closes the connections on which no request is open. After stopAccepting() no request arrives any more.
@@ -139,8 +142,18 @@
     friend class HttpExchange;
     friend struct HttpServerCallbacks;
 
+    /// A connection that libmicrohttpd has open.
+    struct Connection
+    {
+        int quietSweeps = 0; ///< sweeps since the last sign of a request
+    };
+
     void scheduleRun();
     void scheduleCloseWatch();
+    void noteActivity(MHD_Connection *connection);
+    void sweepConnections();
+    void endIfTooSlow(MHD_Connection *connection, Connection &state);
+    void refuseSlow(MHD_Connection *connection);
     void watchForCloses();
     void run();
     void dispatch(const std::shared_ptr<HttpExchange> &exchange);
@@ -159,7 +172,8 @@
     bool m_quiesced = false; ///< takes no new connections and closes each after its answer
     bool m_stopping = false; ///< being destroyed: libmicrohttpd may not stop with a suspended request
     std::map<MHD_Connection *, std::shared_ptr<HttpExchange>> m_open; ///< requests that libmicrohttpd still knows
-    std::set<MHD_Connection *> m_connections; ///< open ones
+    std::map<MHD_Connection *, Connection> m_connections;
+    Timer m_sweepTimer; ///< looks for connections that take too long
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -40,6 +40,7 @@
     void reloadIfChanged();
     void reload();
     /// Brings the gauges up to date before they are read.
+    void followCallerBounds();
     void updateGauges();
     void announce(const EndpointId &endpoint, bool leaving);
 
@@ -64,6 +65,7 @@
     CallServer m_callServer;
     CallClient m_callClient;
     EntrySide m_entry;
+    CallerBounds m_callerBounds; ///< those that m_callerServer has
     HttpServer m_callerServer;
     OperatorApi m_operators;
     Timer m_drainTimer;
--- a/include/jasminemast/registry/registrysource.h
+++ b/include/jasminemast/registry/registrysource.h
@@ -17,17 +17,6 @@
 /// Counts the changes of a registry; grows with each.
 using Revision = StrongId<struct RevisionTag, std::uint64_t>;
 
-/// What callers may send, and for how long they may take or be idle. Zero: not limited.
-struct CallerBounds
-{
-    std::size_t maxHeaderBytes = 0;
-    std::size_t maxBodyBytes = 0;
-    Milliseconds headerTimeout {0};
-    Milliseconds idleTimeout {0};
-
-    bool operator==(const CallerBounds &) const = default;
-};
-
 /// A whole configuration as an operator published it.
 ///
 /// Invariant: every service that a route names is in `services`.
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -20,17 +20,25 @@
 
 constexpr std::size_t BodyBlockBytes = 32 << 10;
 constexpr Milliseconds CloseWatchDelay {20};
+/// Connections are looked at this often; short beside the times that operators set, which are seconds.
+constexpr Milliseconds SweepInterval {500};
+/// A caller that reads nothing of its answer for this long is cut off; twice the longest time-out of a usual caller.
+constexpr unsigned UnreadAnswerSeconds = 120;
 constexpr std::size_t ConnectionMemoryBytes = 64 << 10;
 
 /// Body bytes beyond the limit that are still read, so that the caller sees its refusal; after them it is cut off.
 constexpr std::size_t MaxDroppedBytes = 4 << 20;
 constexpr unsigned StatusBadRequest = 400;
 constexpr unsigned StatusContentTooLarge = 413;
+constexpr unsigned StatusHeadTooLarge = 431;
 constexpr unsigned StatusBadGateway = 502;
 constexpr unsigned LeastFinalStatus = 200;
 constexpr unsigned MostStatus = 599;
 /// How libmicrohttpd's log names a request that it refuses by itself.
 constexpr std::string_view RefusalMessage = "Error processing request";
+/// libmicrohttpd takes no answer before a request's headers are whole.
+constexpr std::string_view TooSlowAnswer
+    = "HTTP/1.1 408 Request Timeout\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
 
 bool announcesMoreThan(const HttpRequest &request, std::size_t limit)
 {
@@ -40,6 +48,39 @@
         && length > limit;
 }
 
+std::size_t headBytes(const HttpRequest &request)
+{
+    constexpr std::size_t SeparatorBytes = 4; // colon, space and line end
+    std::size_t bytes = request.method.size() + request.target.size();
+    for (const HttpHeader &header : request.headers) {
+        bytes += header.name.size() + header.value.size() + SeparatorBytes;
+    }
+    return bytes;
+}
+
+unsigned statusOf(ResultCode refusal)
+{
+    switch (refusal) {
+    case ResultCode::RequestTooLarge:
+        return StatusContentTooLarge;
+    case ResultCode::RequestHeadTooLarge:
+        return StatusHeadTooLarge;
+    default:
+        return StatusBadRequest;
+    }
+}
+
+/// Sweeps after which at least \p limit has passed.
+int sweepsFor(Milliseconds limit)
+{
+    return static_cast<int>(limit / SweepInterval) + 1;
+}
+
+int descriptorOf(MHD_Connection *connection)
+{
+    return MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD)->connect_fd;
+}
+
 MHD_Result appendHeader(void *target, MHD_ValueKind /*kind*/, const char *name, const char *value)
 {
     auto *headers = static_cast<HttpHeaders *>(target);
@@ -58,6 +99,7 @@
         const auto exchange = std::make_shared<HttpExchange>(*self, connection);
         exchange->m_request.target = uri;
         self->m_open.insert_or_assign(connection, exchange);
+        self->noteActivity(connection);
         return exchange.get();
     }
 
@@ -97,6 +139,8 @@
     {
         if (!exchange.m_request.target.starts_with("/")) {
             exchange.m_refusal = ResultCode::BadRequest;
+        } else if (headBytes(exchange.m_request) > exchange.m_server.m_limits.maxHeadBytes) {
+            exchange.m_refusal = ResultCode::RequestHeadTooLarge;
         } else if (announcesMoreThan(exchange.m_request, exchange.m_server.m_limits.maxBodyBytes)) {
             exchange.m_refusal = ResultCode::RequestTooLarge;
         }
@@ -108,6 +152,7 @@
 
     static void takeBody(HttpExchange &exchange, std::string_view bytes)
     {
+        exchange.m_server.noteActivity(exchange.m_connection);
         if (exchange.m_request.body.size() + bytes.size() > exchange.m_server.m_limits.maxBodyBytes) {
             exchange.m_refusal = ResultCode::RequestTooLarge;
             exchange.m_droppedBytes += bytes.size();
@@ -130,7 +175,10 @@
     {
         auto *self = static_cast<HttpServer *>(server);
         if (code == MHD_CONNECTION_NOTIFY_STARTED) {
-            self->m_connections.insert(connection);
+            self->m_connections.emplace(connection, HttpServer::Connection {});
+            if (!self->m_sweepTimer.isActive()) {
+                self->m_sweepTimer.start(SweepInterval);
+            }
             return;
         }
         self->m_connections.erase(connection);
@@ -145,6 +193,7 @@
         const auto exchange = static_cast<HttpExchange *>(*context)->shared_from_this();
         *context = nullptr;
         static_cast<HttpServer *>(server)->m_open.erase(connection);
+        static_cast<HttpServer *>(server)->noteActivity(connection);
         exchange->onCompleted(code == MHD_REQUEST_TERMINATED_COMPLETED_OK);
     }
 
@@ -200,9 +249,8 @@
 
 void HttpExchange::onReadableWhileSuspended()
 {
-    const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
     char byte = 0;
-    const ssize_t size = ::recv(info->connect_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t size = ::recv(descriptorOf(m_connection), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (size > 0) {
         m_closeWatcher.stop();
         return;
@@ -307,8 +355,7 @@
     if (!m_responded || (m_bodyPending && !m_bodyStarted)) {
         startBody(StatusBadGateway, {}, std::nullopt);
     }
-    const auto *info = MHD_get_connection_info(m_connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-    ::shutdown(info->connect_fd, SHUT_RDWR);
+    ::shutdown(descriptorOf(m_connection), SHUT_RDWR);
     resume();
 }
 
@@ -362,6 +409,7 @@
     , m_watcher(loop, [this](int) { run(); })
     , m_closeWatchTimer(loop, [this] { watchForCloses(); })
     , m_timer(loop, [this] { run(); })
+    , m_sweepTimer(loop, [this] { sweepConnections(); })
 {
     const sockaddr_in system = toSystemAddress(local);
     m_daemon = MHD_start_daemon(
@@ -370,8 +418,8 @@
         &HttpServerCallbacks::onUri, this, MHD_OPTION_EXTERNAL_LOGGER, &HttpServerCallbacks::onLog, this,
         MHD_OPTION_NOTIFY_CONNECTION, &HttpServerCallbacks::onConnection, this, MHD_OPTION_NOTIFY_COMPLETED,
         &HttpServerCallbacks::onCompleted, this, MHD_OPTION_CONNECTION_LIMIT, m_limits.maxConnections,
-        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT,
-        static_cast<unsigned>(m_limits.idleTimeout.count()), MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
+        MHD_OPTION_CONNECTION_MEMORY_LIMIT, ConnectionMemoryBytes, MHD_OPTION_CONNECTION_TIMEOUT, UnreadAnswerSeconds,
+        MHD_OPTION_LISTENING_ADDRESS_REUSE, 1U, MHD_OPTION_END);
     if (m_daemon == nullptr) {
         throw ResultError(ResultCode::BindFailed, "HTTP " + local.toString() + ": " + std::strerror(errno));
     }
@@ -408,15 +456,68 @@
 {
     // What has arrived already is read first.
     run();
-    for (MHD_Connection *connection : m_connections) {
+    for (const auto &[connection, state] : m_connections) {
         if (m_open.contains(connection)) {
             continue;
         }
-        const auto *info = MHD_get_connection_info(connection, MHD_CONNECTION_INFO_CONNECTION_FD);
-        ::shutdown(info->connect_fd, SHUT_RDWR);
+        ::shutdown(descriptorOf(connection), SHUT_RDWR);
+    }
+}
+
+void HttpServer::setLimits(const HttpServerLimits &limits)
+{
+    m_limits = limits;
+}
+
+void HttpServer::noteActivity(MHD_Connection *connection)
+{
+    const auto found = m_connections.find(connection);
+    if (found != m_connections.end()) {
+        found->second.quietSweeps = 0;
     }
 }
 
+void HttpServer::sweepConnections()
+{
+    if (m_connections.empty()) {
+        return;
+    }
+    m_sweepTimer.start(SweepInterval);
+    for (auto &[connection, state] : m_connections) {
+        endIfTooSlow(connection, state);
+    }
+    // libmicrohttpd sees the ends only when it runs.
+    scheduleRun();
+}
+
+void HttpServer::endIfTooSlow(MHD_Connection *connection, Connection &state)
+{
+    const auto open = m_open.find(connection);
+    if (open != m_open.end() && open->second->m_dispatched) {
+        state.quietSweeps = 0;
+        return;
+    }
+    const bool isHeadDue = open != m_open.end() && open->second->m_request.method.empty();
+    const Milliseconds limit = isHeadDue ? m_limits.headTimeout : m_limits.idleTimeout;
+    if (++state.quietSweeps <= sweepsFor(limit)) {
+        return;
+    }
+    if (open != m_open.end()) {
+        refuseSlow(connection);
+        return;
+    }
+    ::shutdown(descriptorOf(connection), SHUT_RDWR);
+}
+
+void HttpServer::refuseSlow(MHD_Connection *connection)
+{
+    const int descriptor = descriptorOf(connection);
+    // Best effort: the caller may have gone.
+    (void)::send(descriptor, TooSlowAnswer.data(), TooSlowAnswer.size(), MSG_NOSIGNAL | MSG_DONTWAIT);
+    ::shutdown(descriptor, SHUT_RDWR);
+    m_onRefusal(ResultCode::RequestTooSlow);
+}
+
 void HttpServer::scheduleCloseWatch()
 {
     if (!m_closeWatchTimer.isActive()) {
@@ -460,11 +561,9 @@
 void HttpServer::refuse(HttpExchange &exchange)
 {
     m_onRefusal(exchange.m_refusal);
-    const bool tooLarge = exchange.m_refusal == ResultCode::RequestTooLarge;
     const HttpHeaders headers
         = {{"Jasminemast-Outcome", "not-run"}, {"Jasminemast-Code", std::to_string(number(exchange.m_refusal))}};
-    exchange.respond(tooLarge ? StatusContentTooLarge : StatusBadRequest, headers,
-                     std::string(resultInfo(exchange.m_refusal).text) + "\n");
+    exchange.respond(statusOf(exchange.m_refusal), headers, std::string(resultInfo(exchange.m_refusal).text) + "\n");
 }
 
 void HttpServer::forgetConnection(MHD_Connection *connection)
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -28,10 +28,22 @@
     return Incarnation(static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(sinceEpoch).count()));
 }
 
-HttpServerLimits callerLimits(const NodeSettings &settings)
+HttpServerLimits callerLimits(const NodeSettings &settings, const CallerBounds &bounds)
 {
     HttpServerLimits limits;
     limits.maxBodyBytes = settings.calls.maxRequestBytes;
+    if (bounds.maxBodyBytes > 0) {
+        limits.maxBodyBytes = std::min(limits.maxBodyBytes, bounds.maxBodyBytes);
+    }
+    if (bounds.maxHeaderBytes > 0) {
+        limits.maxHeadBytes = bounds.maxHeaderBytes;
+    }
+    if (bounds.headerTimeout.count() > 0) {
+        limits.headTimeout = bounds.headerTimeout;
+    }
+    if (bounds.idleTimeout.count() > 0) {
+        limits.idleTimeout = bounds.idleTimeout;
+    }
     return limits;
 }
 
@@ -67,7 +79,8 @@
           EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient, m_metrics},
           m_settings, m_incarnation, m_random.below(UINT64_MAX))
     , m_callerServer(
-          loop, SocketAddress {m_settings.self.address, m_settings.callerPort}, callerLimits(m_settings),
+          loop, SocketAddress {m_settings.self.address, m_settings.callerPort},
+          callerLimits(m_settings, m_callerBounds),
           [this](const std::shared_ptr<HttpExchange> &exchange) {
               observeClock();
               m_entry.handle(exchange);
@@ -78,7 +91,10 @@
           })
     , m_operators(loop, clock, m_settings, m_control, m_metrics, [this] { updateGauges(); })
     , m_drainTimer(loop, [this] { checkDrained(); })
-    , m_pauseTimer(loop, [this] { observeClock(); })
+    , m_pauseTimer(loop, [this] {
+        observeClock();
+        followCallerBounds();
+    })
 {
     m_pauseTimer.startRepeating(PauseCheckInterval);
     m_callServer.setNumberObserver(
@@ -226,6 +242,15 @@
     }
 }
 
+void Node::followCallerBounds()
+{
+    const CallerBounds &bounds = m_control.current()->callers;
+    if (bounds != m_callerBounds) {
+        m_callerBounds = bounds;
+        m_callerServer.setLimits(callerLimits(m_settings, m_callerBounds));
+    }
+}
+
 void Node::updateGauges()
 {
     m_metrics.set(Gauge::TicketInForce, static_cast<double>(m_control.current()->number.value()));
--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -14,15 +14,16 @@
 namespace
 {
 
+using std::chrono_literals::operator""ms;
+
 class HttpServerTest : public testing::Test
 {
 protected:
     void start(std::function<void(const std::shared_ptr<HttpExchange> &)> handler)
     {
-        HttpServerLimits limits;
-        limits.maxBodyBytes = 1'000;
+        m_limits.maxBodyBytes = 1'000;
         m_server = std::make_unique<HttpServer>(
-            m_loop, m_address, limits,
+            m_loop, m_address, m_limits,
             [this, handler = std::move(handler)](const std::shared_ptr<HttpExchange> &exchange) {
                 ++m_handled;
                 handler(exchange);
@@ -47,6 +48,7 @@
 
     Loop m_loop;
     SocketAddress m_address = testAddress();
+    HttpServerLimits m_limits;
     std::map<ResultCode, int> m_refusals;
     int m_handled = 0;
     std::unique_ptr<HttpServer> m_server;
@@ -125,6 +127,83 @@
     EXPECT_TRUE(serves());
 }
 
+TEST_F(HttpServerTest, HeadersBeyondTheOperatorsLimitAreRefused)
+{
+    m_limits.maxHeadBytes = 200;
+    startEcho();
+    TestPeer peer(m_address);
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(200, 'x') + "\r\n\r\n";
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.write(request) > 0; }));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("HTTP/1.1 431"); }));
+    EXPECT_EQ(m_refusals, (std::map<ResultCode, int> {{ResultCode::RequestHeadTooLarge, 1}}));
+    EXPECT_EQ(m_handled, 0);
+    EXPECT_TRUE(serves());
+}
+
+TEST_F(HttpServerTest, NewLimitsHoldForTheNextRequestOnAnOpenConnection)
+{
+    startEcho();
+    TestPeer peer(m_address);
+    const std::string request = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhello";
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.write(request) > 0; }));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("HTTP/1.1 200"); }));
+    m_limits.maxBodyBytes = 4;
+    m_server->setLimits(m_limits);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.write(request) > 0; }));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("HTTP/1.1 413"); }));
+}
+
+TEST_F(HttpServerTest, HeadersThatDoNotComeToTheirEndAreRefusedInTime)
+{
+    m_limits.headTimeout = 500ms;
+    startEcho();
+    TestPeer peer(m_address);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\n") > 0; }));
+    int checks = 0;
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        if (++checks % 100 == 0) {
+            peer.write("X: more\r\n");
+        }
+        return peer.received("HTTP/1.1 408") && peer.isOver();
+    }));
+    EXPECT_EQ(m_refusals, (std::map<ResultCode, int> {{ResultCode::RequestTooSlow, 1}}));
+    EXPECT_EQ(m_handled, 0);
+    EXPECT_TRUE(serves());
+}
+
+TEST_F(HttpServerTest, BodyThatStopsIsRefusedAndIdleConnectionIsClosed)
+{
+    m_limits.idleTimeout = 500ms;
+    startEcho();
+    TestPeer slow(m_address);
+    TestPeer idle(m_address);
+    EXPECT_TRUE(
+        runUntil(m_loop, [&] { return slow.write("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\n\r\nhe") > 0; }));
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        idle.read();
+        return slow.received("HTTP/1.1 408") && slow.isOver() && idle.isOver();
+    }));
+    EXPECT_TRUE(idle.read().empty());
+    EXPECT_EQ(m_handled, 0);
+}
+
+TEST_F(HttpServerTest, RequestThatWaitsForItsAnswerIsNotIdle)
+{
+    m_limits.idleTimeout = 500ms;
+    std::shared_ptr<HttpExchange> waiting;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) { waiting = exchange; });
+    TestPeer peer(m_address);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; }));
+    TestPeer idle(m_address);
+    EXPECT_TRUE(runUntil(m_loop, [&] {
+        idle.read();
+        return idle.isOver();
+    }));
+    ASSERT_NE(waiting, nullptr);
+    waiting->respond(200, {}, "late");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("late"); }));
+}
+
 TEST_F(HttpServerTest, SurvivesRandomBytes)
 {
     startEcho();
