--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -20,6 +20,10 @@
     Milliseconds lastRetry {800}; ///< most delay; bounds how late a change is seen after an outage
     /// For how long targets that vanished during an outage of the registry may be registering anew after it.
     Milliseconds returnGrace {2'000};
+    /// After a new configuration the next one is looked for this much later, by a listing, which holds only the newest:
+    /// the changes of a few seconds may be many times as large. A sixth of the time in which a change is to be in
+    /// force.
+    Milliseconds configurationPause {500};
     std::size_t maxForgotten = 4'096; ///< removed targets whose last report is remembered
 };
 
@@ -66,8 +70,8 @@
     void onAnswer(RegistryAnswer answer, TimePoint now);
     /// Removes vanished targets whose grace is over.
     void expire(TimePoint now);
-    /// What was read may be old: read everything anew.
-    void refresh(TimePoint now);
+    /// What was read may be old: read everything anew, from \p when on.
+    void refresh(TimePoint when);
 
     [[nodiscard]] const std::optional<PublishedConfiguration> &configuration() const
     {
@@ -108,8 +112,10 @@
         auto operator<=>(const ReportAge &) const = default;
     };
 
+    [[nodiscard]] TicketNumber number() const;
     void onFailure(ResultCode code, TimePoint now);
     void onPage(RegistryAnswer &answer, TimePoint now);
+    void endListing(TimePoint now);
     void onChanges(RegistryAnswer &answer, TimePoint now);
     void take(RegistryRecord &record, TimePoint now);
     void takeTarget(const RegisteredTarget &target, TimePoint now);
@@ -126,6 +132,7 @@
     std::vector<RecordRefused> m_refused;
     std::set<EndpointId> m_seen; ///< targets of the listing under way
     std::string m_after; ///< where the next page of the listing under way starts
+    TicketNumber m_numberBefore; ///< of the configuration when the listing under way began
     std::optional<Revision> m_listStart; ///< revision of the first page of the listing under way
     Revision m_revision; ///< up to which changes are known
     bool m_listing = true;
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -58,13 +58,19 @@
     ++m_failures;
 }
 
-void RegistryFollower::refresh(TimePoint now)
+void RegistryFollower::refresh(TimePoint when)
 {
     m_listing = true;
     m_after.clear();
     m_seen.clear();
     m_listStart.reset();
-    m_notBefore = now;
+    m_numberBefore = number();
+    m_notBefore = when;
+}
+
+TicketNumber RegistryFollower::number() const
+{
+    return m_configuration ? m_configuration->number : TicketNumber(0);
 }
 
 void RegistryFollower::onPage(RegistryAnswer &answer, TimePoint now)
@@ -80,9 +86,13 @@
         take(record, now);
     }
     m_after = answer.next;
-    if (!m_after.empty()) {
-        return;
+    if (m_after.empty()) {
+        endListing(now);
     }
+}
+
+void RegistryFollower::endListing(TimePoint now)
+{
     std::vector<EndpointId> missing;
     for (const auto &[id, known] : m_targets) {
         if (!m_seen.contains(id)) {
@@ -93,19 +103,26 @@
         vanish(id, now);
     }
     m_revision = *m_listStart;
-    m_listing = false;
-    m_listed = true;
     m_listStart.reset();
     m_seen.clear();
+    const bool isChanging = m_listed && number() != m_numberBefore;
+    m_listing = false;
+    m_listed = true;
+    if (isChanging) {
+        refresh(now + m_limits.configurationPause);
+    }
 }
 
 void RegistryFollower::onChanges(RegistryAnswer &answer, TimePoint now)
 {
+    const TicketNumber before = number();
     for (RegistryRecord &record : answer.records) {
         take(record, now);
     }
     m_revision = std::max(m_revision, answer.revision);
-    if (!answer.records.empty()) {
+    if (number() != before) {
+        refresh(now + m_limits.configurationPause);
+    } else if (!answer.records.empty()) {
         m_notBefore = now + m_limits.changePause;
     }
 }
--- a/unittests/platform/recordstest.cpp
+++ b/unittests/platform/recordstest.cpp
@@ -181,6 +181,32 @@
     EXPECT_TRUE(changes.next.empty());
 }
 
+TEST(StoreAnswerTest, onlyTheNewestRecordOfAKeyIsDecoded)
+{
+    Json newer = configurationValue();
+    newer["version"] = "0000001d";
+    Json draining = serverValue();
+    draining["status"]["state"] = "draining";
+    const Json changes = {{"events",
+                           {item("op/config", configurationValue().dump()), item("servers/i-1", serverValue().dump()),
+                            item("op/config", newer.dump()), item("servers/i-1", draining.dump())}},
+                          {"store-revision", 530}};
+    const RegistryAnswer answer = decodeAnswer(200, changes.dump());
+    ASSERT_EQ(answer.records.size(), 2U);
+    EXPECT_EQ(std::get<PublishedConfiguration>(answer.records[0]).number, TicketNumber(0x1d));
+    EXPECT_TRUE(std::get<RegisteredTarget>(answer.records[1]).draining);
+}
+
+TEST(StoreAnswerTest, refusedConfigurationDoesNotHideTheOneBeforeIt)
+{
+    const Json changes = {{"events", {item("op/config", configurationValue().dump()), item("op/config", "{}")}},
+                          {"store-revision", 5}};
+    const RegistryAnswer answer = decodeAnswer(200, changes.dump());
+    ASSERT_EQ(answer.records.size(), 2U);
+    EXPECT_TRUE(std::holds_alternative<PublishedConfiguration>(answer.records[0]));
+    EXPECT_TRUE(std::holds_alternative<RecordRefused>(answer.records[1]));
+}
+
 TEST(StoreAnswerTest, failuresAreToldApart)
 {
     EXPECT_EQ(decodeAnswer(410, "").code, ResultCode::RegistryHistoryGone);
--- a/unittests/registry/registryfollowertest.cpp
+++ b/unittests/registry/registryfollowertest.cpp
@@ -200,11 +200,32 @@
 TEST(RegistryFollowerTest, changesInQuickSuccessionCostFewCalls)
 {
     RegistryFollower follower = listed();
-    follower.onAnswer(answer(11, {configuration(4)}), Start);
+    follower.onAnswer(answer(11, {target("a", 2, 11)}), Start);
     EXPECT_TRUE(isNext<registryaction::Wait>(follower, Start));
     EXPECT_TRUE(isNext<registryaction::Watch>(follower, Start + 1s));
 }
 
+// Twenty configurations in two seconds are megabytes as changes, and were in force too late on a machine with a narrow
+// link; a listing holds the newest alone.
+TEST(RegistryFollowerTest, configurationsInQuickSuccessionAreReadByListings)
+{
+    RegistryFollower follower = listed();
+    follower.onAnswer(answer(11, {configuration(4)}), Start);
+    EXPECT_FALSE(isNext<registryaction::Watch>(follower, Start));
+    const TimePoint later = Start + RegistryFollowerLimits {}.configurationPause;
+    ASSERT_TRUE(isNext<registryaction::List>(follower, later));
+    follower.onAnswer(answer(15, {configuration(8), target("a", 1, 8), target("b", 1, 9)}), later);
+    EXPECT_EQ(follower.configuration()->number, TicketNumber(8));
+    EXPECT_FALSE(isNext<registryaction::Watch>(follower, later)) << "they may still be changing";
+    const TimePoint last = later + RegistryFollowerLimits {}.configurationPause;
+    ASSERT_TRUE(isNext<registryaction::List>(follower, last));
+    follower.onAnswer(answer(15, {configuration(8), target("a", 1, 8), target("b", 1, 9)}), last);
+    const RegistryAction watch = follower.next(last);
+    ASSERT_TRUE(std::holds_alternative<registryaction::Watch>(watch));
+    EXPECT_EQ(std::get<registryaction::Watch>(watch).revision, Revision(15));
+    EXPECT_EQ(follower.targets().size(), 2U);
+}
+
 TEST(RegistryFollowerTest, addressBelongsToTheYoungestTargetRegisteredThere)
 {
     // Seen in the recorded incident of hvf-mesh: calls went to a crashed target's address and got 421 from its
