[call] place by how fast targets have proved, and spill from a zone before it is full

With 64 nodes each sees a target about twice in three seconds, so a load report forgotten after 1 s left most targets looking idle; a zone was filled to 0.95 before the next, half a millisecond away, was used; and a target of 0.6 of the mean speed, or behind 15 Mbit/s, got as much as a fast one.

Ruled out: the processor (0.017 cores on the mean of 0.1 to 0.5) and refusals (none).

Change: the choice keeps, for each endpoint, the time of its attempts over the mean time of their route, aging towards 1; load reports age towards the mean of the service; score and spilling use both.

Also: after a new configuration the next is looked for after 1 s, not 0.5 s, for fewer calls.

spillsToItsRegionFirstAndReturnsLater keeps its three steps; its loads now follow the limits, of which one has moved.

--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -17,12 +17,21 @@
 
 struct ChoiceLimits
 {
-    double spillAt = 0.95; ///< mean load of the near endpoints at which farther ones are used as well
-    double returnAt = 0.75; ///< mean load of the near endpoints at which they are enough again
+    /// Mean pressure of the zone's endpoints at which those of the region are used as well, and at which the zone is
+    /// enough again. The way to another zone is short beside any wait, and few endpoints share their load badly.
+    double zoneSpillAt = 0.6;
+    double zoneReturnAt = 0.45;
+    /// The same for the region and all others, to which the way is long and has its price.
+    double regionSpillAt = 0.95;
+    double regionReturnAt = 0.75;
     Duration slowStart = std::chrono::seconds(5); ///< a cold endpoint reaches its full share in this time
     double slowStartFloor = 0.1; ///< share of a cold endpoint at first
     Duration leavingLifetime = std::chrono::seconds(5); ///< age at which an announcement to leave is forgotten
-    Duration reportLifetime = std::chrono::seconds(1); ///< age at which a load report is forgotten
+    /// Age at which a load report, or a measured slowness, has lost two thirds of its weight against the mean of the
+    /// service. Loads change with the seconds; what makes an endpoint slow lasts longer.
+    Duration loadAging = std::chrono::seconds(2);
+    Duration slownessAging = std::chrono::seconds(10);
+    double mostSlowness = 20; ///< as far as one endpoint may be told slower than the mean
     double fullAt = 1.95; ///< load at which slots and queue are full: another attempt would be refused
     /// For how long an endpoint is taken for full; by then a good part of its slots has been freed once.
     Duration fullLifetime = std::chrono::milliseconds(100);
@@ -78,6 +87,8 @@
     /// An attempt was sent to the endpoint; each is followed by one ended().
     void began(const EndpointId &id);
     void ended(const EndpointId &id, AttemptEvidence evidence, TimePoint now);
+    /// An attempt for \p route took \p duration from the choice to the end of its answer.
+    void took(const EndpointId &id, const RouteId &route, Duration duration, TimePoint now);
     /// A reply brought back the endpoint's load (running and waiting over slots).
     void reported(const EndpointId &id, double load, TimePoint now);
     /// The node beside the endpoint announced that it takes no new calls, or takes them again. The announcement is
@@ -100,6 +111,8 @@
         double reportedLoad = 0;
         unsigned inFlightAtReport = 0;
         std::optional<TimePoint> reportedAt;
+        double slowness = 1; ///< smoothed time of its attempts over the mean time of their route
+        std::optional<TimePoint> tookAt; ///< when slowness was last measured
         std::optional<TimePoint> coldSince; ///< unset: warm
         double failureRate = 0; ///< smoothed share of attempts that failed
         unsigned ejections = 0; ///< since the endpoint was last forgiven
@@ -113,18 +126,22 @@
     [[nodiscard]] Group usable(Tier tier, const std::set<EndpointId> &avoid, TimePoint now) const;
     [[nodiscard]] Group group(const std::set<EndpointId> &avoid, TimePoint now);
     [[nodiscard]] double load(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] double slowness(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] double pressure(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double score(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double warmth(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isFull(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] Group usableOf(Tier tier, const std::set<EndpointId> &avoid, TimePoint now, bool withSilent) const;
     [[nodiscard]] Group withRoom(const Group &group, TimePoint now) const;
-    [[nodiscard]] bool overloaded(const Group &near, bool spilling, TimePoint now) const;
+    [[nodiscard]] double meanPressure(const Group &group, TimePoint now) const;
     void considerEjection(Endpoint &endpoint, TimePoint now);
 
     ZoneId m_zone;
     RegionId m_region;
     ChoiceLimits m_limits;
     std::map<EndpointId, Endpoint> m_endpoints;
+    std::map<RouteId, Duration> m_meanTimes; ///< smoothed, over all endpoints
+    double m_meanLoad = 0; ///< smoothed, over all reports
     bool m_spillsZone = false; ///< farther endpoints of the region are in use as well
     bool m_spillsRegion = false; ///< other regions are in use as well
 };
--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -34,6 +34,7 @@
 /// A call as the caller gave it.
 struct CallSpec
 {
+    RouteId route;
     ServiceId service;
     bool repeatable = false;
     TimePoint deadline;
@@ -174,6 +175,8 @@
     void sendFence(const CallId &id, Call &call, EntryActions &actions);
     void sendCancel(const CallId &id, const Call &call, EntryActions &actions) const;
     void finish(const CallId &id, const callaction::Finish &end, EntryActions &actions);
+    /// What the end of the open attempt says of how fast its endpoint is.
+    void noteTime(const Call &call, TimePoint now);
     void closeAttempt(Call &call, AttemptEvidence evidence, TimePoint now);
     void giveUpUnsent(TimePoint chosenUntil, EntryActions &actions, TimePoint now);
     void resolveUnsent(const CallId &id, EntryActions &actions, TimePoint now);
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -21,9 +21,9 @@
     /// For how long targets that vanished during an outage of the registry may be registering anew after it.
     Milliseconds returnGrace {2'000};
     /// After a new configuration the next one is looked for this much later, by a listing, which holds only the newest:
-    /// the changes of a few seconds may be many times as large. A sixth of the time in which a change is to be in
-    /// force.
-    Milliseconds configurationPause {500};
+    /// the changes of a few seconds may be many times as large. Under half of the time in which a change is to be
+    /// in force.
+    Milliseconds configurationPause {1'000};
     std::size_t maxForgotten = 4'096; ///< removed targets whose last report is remembered
 };
 
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace jasminemast
 {
@@ -12,6 +13,17 @@
 
 /// The newest attempt counts for one part in this many of the failure rate.
 constexpr double FailureSmoothing = 8;
+/// The same for the time of attempts at one endpoint, and for the means over all endpoints of a service.
+constexpr double SlownessSmoothing = 4;
+constexpr double MeanSmoothing = 32;
+/// Score of an idle endpoint, in loads: between endpoints that are all lightly used, how slow they are counts more.
+constexpr double IdleScore = 0.5;
+
+/// What is left of a measurement's weight at \p age.
+double weightAt(Duration age, Duration aging)
+{
+    return std::exp(-std::chrono::duration<double>(age) / aging);
+}
 
 } // namespace
 
@@ -80,11 +92,26 @@
 {
     const double slots = std::max(1U, endpoint.candidate.slots);
     const double own = endpoint.inFlight / slots;
-    if (!endpoint.reportedAt || now - *endpoint.reportedAt > m_limits.reportLifetime) {
-        return own;
+    if (!endpoint.reportedAt) {
+        return std::max(own, m_meanLoad);
     }
+    const double weight = weightAt(now - *endpoint.reportedAt, m_limits.loadAging);
+    const double reported = m_meanLoad + weight * (endpoint.reportedLoad - m_meanLoad);
     const double since = (static_cast<double>(endpoint.inFlight) - endpoint.inFlightAtReport) / slots;
-    return std::max(own, endpoint.reportedLoad + since);
+    return std::max(own, reported + since);
+}
+
+double Choice::slowness(const Endpoint &endpoint, TimePoint now) const
+{
+    if (!endpoint.tookAt) {
+        return 1;
+    }
+    return 1 + weightAt(now - *endpoint.tookAt, m_limits.slownessAging) * (endpoint.slowness - 1);
+}
+
+double Choice::pressure(const Endpoint &endpoint, TimePoint now) const
+{
+    return load(endpoint, now) * slowness(endpoint, now);
 }
 
 double Choice::warmth(const Endpoint &endpoint, TimePoint now) const
@@ -99,7 +126,7 @@
 double Choice::score(const Endpoint &endpoint, TimePoint now) const
 {
     const double slots = std::max(1U, endpoint.candidate.slots);
-    return (load(endpoint, now) + 1 / slots) / warmth(endpoint, now);
+    return (IdleScore + load(endpoint, now) + 1 / slots) * slowness(endpoint, now) / warmth(endpoint, now);
 }
 
 bool Choice::isFull(const Endpoint &endpoint, TimePoint now) const
@@ -119,24 +146,26 @@
     return result;
 }
 
-bool Choice::overloaded(const Group &near, bool spilling, TimePoint now) const
+double Choice::meanPressure(const Group &group, TimePoint now) const
 {
-    if (near.empty()) {
-        return true;
+    if (group.empty()) {
+        return std::numeric_limits<double>::infinity();
     }
     double sum = 0;
-    for (const Endpoint *endpoint : near) {
-        sum += load(*endpoint, now);
+    for (const Endpoint *endpoint : group) {
+        sum += pressure(*endpoint, now);
     }
-    return sum / static_cast<double>(near.size()) >= (spilling ? m_limits.returnAt : m_limits.spillAt);
+    return sum / static_cast<double>(group.size());
 }
 
 Choice::Group Choice::group(const std::set<EndpointId> &avoid, TimePoint now)
 {
     Group zone = usable(Tier::Zone, avoid, now);
-    const bool spillsZone = overloaded(zone, m_spillsZone, now);
+    const double zoneLimit = m_spillsZone ? m_limits.zoneReturnAt : m_limits.zoneSpillAt;
+    const bool spillsZone = meanPressure(zone, now) >= zoneLimit;
     Group region = spillsZone ? usable(Tier::Region, avoid, now) : Group {};
-    const bool spillsRegion = spillsZone && overloaded(region, m_spillsRegion, now);
+    const double regionLimit = m_spillsRegion ? m_limits.regionReturnAt : m_limits.regionSpillAt;
+    const bool spillsRegion = spillsZone && meanPressure(region, now) >= regionLimit;
     // A retry that avoids an endpoint sees less than the zone has, so it says nothing about the next call.
     if (avoid.empty()) {
         m_spillsZone = spillsZone;
@@ -212,6 +241,21 @@
     }
 }
 
+void Choice::took(const EndpointId &id, const RouteId &route, Duration duration, TimePoint now)
+{
+    const auto found = m_endpoints.find(id);
+    if (found == m_endpoints.end() || duration <= Duration::zero()) {
+        return;
+    }
+    const auto [mean, first] = m_meanTimes.try_emplace(route, duration);
+    const double ratio = std::chrono::duration<double>(duration) / mean->second;
+    mean->second += std::chrono::duration_cast<Duration>((duration - mean->second) / MeanSmoothing);
+    Endpoint &endpoint = found->second;
+    const double before = slowness(endpoint, now);
+    endpoint.slowness = before + (std::min(ratio, m_limits.mostSlowness) - before) / SlownessSmoothing;
+    endpoint.tookAt = now;
+}
+
 void Choice::considerEjection(Endpoint &endpoint, TimePoint now)
 {
     const bool ejected = endpoint.ejectedUntil && now < *endpoint.ejectedUntil;
@@ -242,6 +286,7 @@
         return;
     }
     Endpoint &endpoint = found->second;
+    m_meanLoad += (load - m_meanLoad) / MeanSmoothing;
     endpoint.reportedLoad = load;
     endpoint.inFlightAtReport = endpoint.inFlight;
     endpoint.reportedAt = now;
@@ -272,6 +317,7 @@
         }
         endpoint.leavingUntil.reset();
         endpoint.reportedAt.reset();
+        endpoint.tookAt.reset();
         endpoint.coldSince = now;
     }
 }
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -342,10 +342,21 @@
     return actions;
 }
 
+void EntryCore::noteTime(const Call &call, TimePoint now)
+{
+    const auto service = m_services.find(call.spec.service);
+    if (service != m_services.end()) {
+        service->second.choice.took(call.attempt.endpoint, call.spec.route, now - call.attempt.chosenAt, now);
+    }
+}
+
 EntryActions EntryCore::onAnswerEnded(const AttemptId &attempt, TimePoint now)
 {
     EntryActions actions;
     const bool failed = awaits(attempt) && m_calls.at(attempt.call).attempt.failed;
+    if (awaits(attempt) && !failed) {
+        noteTime(m_calls.at(attempt.call), now);
+    }
     drive(attempt.call, callevent::AnswerEnded {attempt.number},
           failed ? AttemptEvidence::Failure : AttemptEvidence::Success, actions, now);
     return actions;
@@ -403,6 +414,9 @@
     giveUpUnsent(now - m_limits.connectPatience, actions, now);
     while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
         const CallId id = m_deadlines.begin()->second;
+        if (m_calls.at(id).attempt.open) {
+            noteTime(m_calls.at(id), now);
+        }
         resolveUnsent(id, actions, now);
         drive(id, callevent::DeadlinePassed {}, AttemptEvidence::Failure, actions, now);
     }
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -164,6 +164,7 @@
         return;
     }
     CallSpec spec;
+    spec.route = route->id;
     spec.service = m_split.next(*route);
     spec.attempts = route->attempts;
     spec.repeatable = route->isRepeatable(request.method);
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -129,9 +129,9 @@
     const auto spilled = picksByZone(choice, 100, Start);
     EXPECT_GT(spilled.at('b'), 0);
     EXPECT_EQ(spilled.count('c'), 0U);
-    reportOwnZone(0.85);
+    reportOwnZone((ChoiceLimits {}.zoneSpillAt + ChoiceLimits {}.zoneReturnAt) / 2);
     EXPECT_GT(picksByZone(choice, 100, Start)['b'], 0) << "hysteresis";
-    reportOwnZone(0.5);
+    reportOwnZone(ChoiceLimits {}.zoneReturnAt - 0.05);
     EXPECT_EQ(picksByZone(choice, 100, Start).count('b'), 0U);
 }
 
