[call] take a farther target when the near one looks several times worse

Change: a region spills by load alone; beside that, the better of two farther targets is compared with the near one that would be taken, and wins when it looks twice as good (same region) or three times (others).

--- a/include/jasminemast/call/choice.h
+++ b/include/jasminemast/call/choice.h
@@ -21,9 +21,15 @@
     /// enough again. The way to another zone is short beside any wait, and few endpoints share their load badly.
     double zoneSpillAt = 0.6;
     double zoneReturnAt = 0.45;
-    /// The same for the region and all others, to which the way is long and has its price.
+    /// The same for the region and all others, to which the way is long and has its price. Mean load alone counts: an
+    /// endpoint that is slow is passed over within the region.
     double regionSpillAt = 0.95;
     double regionReturnAt = 0.75;
+    /// How many times as good an endpoint of the region, or of another one, must look to be taken instead of the near
+    /// one that would be: within the region, as an idle one beside one that is two thirds full; beyond it, the way has
+    /// its price.
+    double regionDetour = 2;
+    double farDetour = 3;
     Duration slowStart = std::chrono::seconds(5); ///< a cold endpoint reaches its full share in this time
     double slowStartFloor = 0.1; ///< share of a cold endpoint at first
     Duration leavingLifetime = std::chrono::seconds(5); ///< age at which an announcement to leave is forgotten
@@ -127,13 +133,20 @@
     [[nodiscard]] Group group(const std::set<EndpointId> &avoid, TimePoint now);
     [[nodiscard]] double load(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double slowness(const Endpoint &endpoint, TimePoint now) const;
+    [[nodiscard]] const Endpoint &bestOfTwo(const Group &group, TimePoint now, Random &random) const;
+    /// A farther endpoint that is worth the way from \p near; null when none is.
+    [[nodiscard]] const Endpoint *worthwhileDetour(const Endpoint &near, const std::set<EndpointId> &avoid,
+                                                   TimePoint now, Random &random) const;
     [[nodiscard]] double pressure(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double score(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] double warmth(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] bool isFull(const Endpoint &endpoint, TimePoint now) const;
     [[nodiscard]] Group usableOf(Tier tier, const std::set<EndpointId> &avoid, TimePoint now, bool withSilent) const;
     [[nodiscard]] Group withRoom(const Group &group, TimePoint now) const;
-    [[nodiscard]] double meanPressure(const Group &group, TimePoint now) const;
+    /// One endpoint's load, slowness or pressure.
+    using Measure = double (Choice::*)(const Endpoint &, TimePoint) const;
+    /// The mean over \p group; infinite when it is empty.
+    [[nodiscard]] double mean(const Group &group, Measure measure, TimePoint now) const;
     void considerEjection(Endpoint &endpoint, TimePoint now);
 
     ZoneId m_zone;
--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -146,14 +146,14 @@
     return result;
 }
 
-double Choice::meanPressure(const Group &group, TimePoint now) const
+double Choice::mean(const Group &group, Measure measure, TimePoint now) const
 {
     if (group.empty()) {
         return std::numeric_limits<double>::infinity();
     }
     double sum = 0;
     for (const Endpoint *endpoint : group) {
-        sum += pressure(*endpoint, now);
+        sum += (this->*measure)(*endpoint, now);
     }
     return sum / static_cast<double>(group.size());
 }
@@ -162,10 +162,10 @@
 {
     Group zone = usable(Tier::Zone, avoid, now);
     const double zoneLimit = m_spillsZone ? m_limits.zoneReturnAt : m_limits.zoneSpillAt;
-    const bool spillsZone = meanPressure(zone, now) >= zoneLimit;
+    const bool spillsZone = mean(zone, &Choice::pressure, now) >= zoneLimit;
     Group region = spillsZone ? usable(Tier::Region, avoid, now) : Group {};
     const double regionLimit = m_spillsRegion ? m_limits.regionReturnAt : m_limits.regionSpillAt;
-    const bool spillsRegion = spillsZone && meanPressure(region, now) >= regionLimit;
+    const bool spillsRegion = spillsZone && mean(region, &Choice::load, now) >= regionLimit;
     // A retry that avoids an endpoint sees less than the zone has, so it says nothing about the next call.
     if (avoid.empty()) {
         m_spillsZone = spillsZone;
@@ -193,13 +193,42 @@
     if (near.empty()) {
         return std::nullopt;
     }
-    const std::size_t first = random.below(near.size());
-    if (near.size() == 1) {
-        return near[first]->candidate.id;
+    const Endpoint &best = bestOfTwo(near, now, random);
+    const Endpoint *detour = worthwhileDetour(best, avoid, now, random);
+    return (detour == nullptr ? best : *detour).candidate.id;
+}
+
+const Choice::Endpoint &Choice::bestOfTwo(const Group &group, TimePoint now, Random &random) const
+{
+    const std::size_t first = random.below(group.size());
+    if (group.size() == 1) {
+        return *group[first];
+    }
+    const std::size_t second = (first + 1 + random.below(group.size() - 1)) % group.size();
+    const bool firstIsLighter = score(*group[first], now) <= score(*group[second], now);
+    return *group[firstIsLighter ? first : second];
+}
+
+const Choice::Endpoint *Choice::worthwhileDetour(const Endpoint &near, const std::set<EndpointId> &avoid, TimePoint now,
+                                                 Random &random) const
+{
+    const double nearScore = score(near, now);
+    for (const auto &[tier, factor] :
+         {std::pair(Tier::Region, m_limits.regionDetour), std::pair(Tier::Everywhere, m_limits.farDetour)}) {
+        // Even an idle endpoint of the mean speed would not be worth the way.
+        if (tierOf(near) >= tier || nearScore <= factor * IdleScore) {
+            continue;
+        }
+        const Group farther = withRoom(usableOf(tier, avoid, now, false), now);
+        if (farther.empty()) {
+            continue;
+        }
+        const Endpoint &other = bestOfTwo(farther, now, random);
+        if (nearScore > factor * score(other, now)) {
+            return &other;
+        }
     }
-    const std::size_t second = (first + 1 + random.below(near.size() - 1)) % near.size();
-    const bool firstIsLighter = score(*near[first], now) <= score(*near[second], now);
-    return near[firstIsLighter ? first : second]->candidate.id;
+    return nullptr;
 }
 
 std::optional<HostId> Choice::hostOf(const EndpointId &id) const
