--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -92,6 +92,9 @@
     /// The caller has left or the deadline of the sender has passed.
     TargetActions onCancel(const AttemptId &attempt, TimePoint now);
 
+    /// The target has made its whole answer, which is now on its way: its slot is free again. Transfers that hold none
+    /// are bounded by the number of slots.
+    TargetActions onAnswerReady(const AttemptId &attempt, TimePoint now);
     /// The answer is complete; \p answer is null when it is not to be kept.
     TargetActions onAnswered(const AttemptId &attempt, std::shared_ptr<const KeptAnswer> answer, TimePoint now);
     /// The request was never sent to the target, or the target says that it did not run it; \p code tells which.
@@ -144,8 +147,12 @@
         TimePoint deadline;
         bool repeatable;
         std::optional<TimePoint> startedAt; ///< unset while it waits
+        bool onItsWay = false; ///< the answer is ready; only its transfer goes on, which holds no slot
     };
 
+    /// Frees the slot of an attempt that ran.
+    void freeSlot(const AttemptId &attempt, const Accepted &accepted, TargetActions &actions, TimePoint now);
+    [[nodiscard]] std::size_t onTheirWay(const EndpointId &endpoint) const;
     TargetActions admit(const OpenRequest &request, TimePoint deadline, TimePoint now);
     void apply(const AdmissionActions &decisions, TargetActions &actions, TimePoint now);
     void start(const AttemptId &attempt, TargetActions &actions, TimePoint now);
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -120,6 +120,13 @@
 {
     const Accepted accepted = m_accepted.at(attempt);
     m_accepted.erase(attempt);
+    if (!accepted.onItsWay) {
+        freeSlot(attempt, accepted, actions, now);
+    }
+}
+
+void TargetCore::freeSlot(const AttemptId &attempt, const Accepted &accepted, TargetActions &actions, TimePoint now)
+{
     Endpoint &endpoint = m_endpoints.at(accepted.endpoint);
     apply(endpoint.admission.release(attempt, now - *accepted.startedAt, now), actions, now);
     if (m_served.count(accepted.endpoint) == 0 && endpoint.admission.running() + endpoint.admission.waiting() == 0) {
@@ -162,6 +169,28 @@
     return actions;
 }
 
+std::size_t TargetCore::onTheirWay(const EndpointId &endpoint) const
+{
+    return static_cast<std::size_t>(std::count_if(m_accepted.begin(), m_accepted.end(), [&endpoint](const auto &item) {
+        return item.second.onItsWay && item.second.endpoint == endpoint;
+    }));
+}
+
+TargetActions TargetCore::onAnswerReady(const AttemptId &attempt, TimePoint now)
+{
+    TargetActions actions;
+    if (!runs(attempt)) {
+        return actions;
+    }
+    Accepted &accepted = m_accepted.at(attempt);
+    if (accepted.onItsWay || onTheirWay(accepted.endpoint) >= m_endpoints.at(accepted.endpoint).admission.slots()) {
+        return actions;
+    }
+    accepted.onItsWay = true;
+    freeSlot(attempt, Accepted(accepted), actions, now);
+    return actions;
+}
+
 TargetActions TargetCore::onAnswered(const AttemptId &attempt, std::shared_ptr<const KeptAnswer> answer, TimePoint now)
 {
     TargetActions actions;
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -154,9 +154,13 @@
 void TargetSide::start(const targetaction::Start &start)
 {
     const auto attempt = m_attempts.at(start.attempt);
-    attempt->setHeadContext([this, endpoint = start.endpoint](HeadMessage &head) {
+    attempt->setHeadContext([this, id = start.attempt, endpoint = start.endpoint](HeadMessage &head) {
         head.ticket = m_config.current()->number;
         head.load = static_cast<float>(m_core.load(endpoint));
+        // An answer of unknown length may still be being made.
+        if (head.length) {
+            m_loop.post([this, id] { perform(m_core.onAnswerReady(id, m_clock.now())); });
+        }
     });
     // The deadline is in the future, and a transfer without a timeout would never end.
     const auto remaining
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -320,6 +320,41 @@
     }
 }
 
+// Behind a narrow link answers take a second to leave, and targets that were idle refused calls for want of a slot.
+TEST(TargetCoreTest, answerOnItsWayHoldsNoSlot)
+{
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
+    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
+    core.onOpen(openRequest(1, 1s), {}, Start);
+    core.onOpen(openRequest(2, 1s), {}, Start);
+    const TargetActions next = core.onAnswerReady(attempt(1), Start + 10ms);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_EQ(std::get<targetaction::Start>(next.front()).attempt, attempt(2));
+    EXPECT_EQ(core.accepted(), 2U) << "its transfer is not over";
+    EXPECT_TRUE(core.onAnswerReady(attempt(1), Start + 11ms).empty());
+    core.onOpen(openRequest(3, 1s), {}, Start + 11ms);
+    EXPECT_TRUE(core.onAnswerReady(attempt(2), Start + 12ms).empty()) << "as many transfers as slots";
+    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start + 20ms).empty()) << "its slot was freed before";
+    EXPECT_EQ(core.onAnswered(attempt(2), nullptr, Start + 21ms).size(), 1U);
+    EXPECT_EQ(core.accepted(), 1U);
+}
+
+TEST(TargetCoreTest, transferGoesOnAfterItsEndpointWasRemoved)
+{
+    ManualClock clock;
+    Metrics metrics(clock);
+    TargetCore core(Incarnation(1), {}, metrics);
+    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
+    core.onOpen(openRequest(1, 1s), {}, Start);
+    core.onAnswerReady(attempt(1), Start + 10ms);
+    core.setEndpoints({}, Start + 11ms);
+    EXPECT_TRUE(core.holds(attempt(1)));
+    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start + 20ms).empty());
+    EXPECT_EQ(core.accepted(), 0U);
+}
+
 TEST(TargetCoreTest, endpointRemovedByATicketFinishesItsWork)
 {
     ManualClock clock;
