--- a/lib/call/choice.cpp
+++ b/lib/call/choice.cpp
@@ -16,6 +16,9 @@
 /// The same for the time of attempts at one endpoint, and for the means over all endpoints of a service.
 constexpr double SlownessSmoothing = 4;
 constexpr double MeanSmoothing = 32;
+/// Routes of one service whose mean time is kept: several times as many as one service has. Operators add and remove
+/// routes for as long as the process runs; beyond this the means are learnt anew.
+constexpr std::size_t MostRoutes = 1'000;
 /// Score of an idle endpoint, in loads: between endpoints that are all lightly used, how slow they are counts more.
 constexpr double IdleScore = 0.5;
 
@@ -276,9 +279,12 @@
     if (found == m_endpoints.end() || duration <= Duration::zero()) {
         return;
     }
-    const auto [mean, first] = m_meanTimes.try_emplace(route, duration);
-    const double ratio = std::chrono::duration<double>(duration) / mean->second;
-    mean->second += std::chrono::duration_cast<Duration>((duration - mean->second) / MeanSmoothing);
+    if (m_meanTimes.size() >= MostRoutes && !m_meanTimes.contains(route)) {
+        m_meanTimes.clear();
+    }
+    Duration &meanTime = m_meanTimes.try_emplace(route, duration).first->second;
+    const double ratio = std::chrono::duration<double>(duration) / meanTime;
+    meanTime += std::chrono::duration_cast<Duration>((duration - meanTime) / MeanSmoothing);
     Endpoint &endpoint = found->second;
     const double before = slowness(endpoint, now);
     endpoint.slowness = before + (std::min(ratio, m_limits.mostSlowness) - before) / SlownessSmoothing;
