--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -293,128 +293,117 @@
 
 } // namespace
 
-TEST(TargetCoreTest, leavingTakesNothingNewAndCutsNothing)
-{
-    for (const DrainReason reason :
-         {DrainReason::Signal, DrainReason::HostList, DrainReason::HealthPage, DrainReason::Ticket}) {
-        ManualClock clock;
-        Metrics metrics(clock);
-        TargetCore core(Incarnation(1), {}, metrics);
-        core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-        core.onOpen(openRequest(1, 1s), {}, Start);
-        core.onOpen(openRequest(2, 1s), {}, Start);
-        if (reason == DrainReason::HealthPage) {
-            core.onHealth(EndpointId("e"), true, Start);
-        } else if (reason == DrainReason::Ticket) {
-            core.setEndpoints({{EndpointId("e"), 1, true}}, Start);
-        } else {
-            core.setLeaving(reason, true, Start);
-        }
-        EXPECT_TRUE(refusesWith(core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::TargetLeaving));
-        EXPECT_EQ(core.accepted(), 2U);
-        const TargetActions next = core.onAnswered(attempt(1), nullptr, Start + 10ms);
-        ASSERT_EQ(next.size(), 1U);
-        EXPECT_TRUE(std::holds_alternative<targetaction::Start>(next.front())) << "the waiting one still runs";
-        core.onAnswered(attempt(2), nullptr, Start + 20ms);
-        EXPECT_EQ(core.accepted(), 0U);
+/// One endpoint of one slot.
+class TargetCoreTest : public testing::Test
+{
+protected:
+    TargetCoreTest()
+    {
+        m_core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
+    }
+
+    /// Offers calls 1 and 2: the first runs, the second waits.
+    void fill()
+    {
+        m_core.onOpen(openRequest(1, 1s), {}, Start);
+        m_core.onOpen(openRequest(2, 1s), {}, Start);
+    }
+
+    ManualClock m_clock;
+    Metrics m_metrics {m_clock};
+    TargetCore m_core {Incarnation(1), {}, m_metrics};
+};
+
+class LeavingTargetTest : public TargetCoreTest, public testing::WithParamInterface<DrainReason>
+{
+};
+
+TEST_P(LeavingTargetTest, takesNothingNewAndCutsNothing)
+{
+    fill();
+    if (GetParam() == DrainReason::HealthPage) {
+        m_core.onHealth(EndpointId("e"), true, Start);
+    } else if (GetParam() == DrainReason::Ticket) {
+        m_core.setEndpoints({{EndpointId("e"), 1, true}}, Start);
+    } else {
+        m_core.setLeaving(GetParam(), true, Start);
     }
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::TargetLeaving));
+    EXPECT_EQ(m_core.accepted(), 2U);
+    const TargetActions next = m_core.onAnswered(attempt(1), nullptr, Start + 10ms);
+    ASSERT_EQ(next.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<targetaction::Start>(next.front())) << "the waiting one still runs";
+    m_core.onAnswered(attempt(2), nullptr, Start + 20ms);
+    EXPECT_EQ(m_core.accepted(), 0U);
 }
 
-// Behind a narrow link answers take a second to leave, and targets that were idle refused calls for want of a slot.
-TEST(TargetCoreTest, answerOnItsWayHoldsNoSlot)
+INSTANTIATE_TEST_SUITE_P(EveryReason, LeavingTargetTest,
+                         testing::Values(DrainReason::Signal, DrainReason::HostList, DrainReason::HealthPage,
+                                         DrainReason::Ticket));
+
+// Behind a narrow link an answer may take a second to leave; its slot was kept from the calls behind it for as long.
+TEST_F(TargetCoreTest, answerOnItsWayHoldsNoSlot)
 {
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    core.onOpen(openRequest(2, 1s), {}, Start);
-    const TargetActions next = core.onAnswerReady(attempt(1), Start + 10ms);
+    fill();
+    const TargetActions next = m_core.onAnswerReady(attempt(1), Start + 10ms);
     ASSERT_EQ(next.size(), 1U);
     EXPECT_EQ(std::get<targetaction::Start>(next.front()).attempt, attempt(2));
-    EXPECT_EQ(core.accepted(), 2U) << "its transfer is not over";
-    EXPECT_TRUE(core.onAnswerReady(attempt(1), Start + 11ms).empty());
-    core.onOpen(openRequest(3, 1s), {}, Start + 11ms);
-    EXPECT_TRUE(core.onAnswerReady(attempt(2), Start + 12ms).empty()) << "as many transfers as slots";
-    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start + 20ms).empty()) << "its slot was freed before";
-    EXPECT_EQ(core.onAnswered(attempt(2), nullptr, Start + 21ms).size(), 1U);
-    EXPECT_EQ(core.accepted(), 1U);
-}
-
-TEST(TargetCoreTest, transferGoesOnAfterItsEndpointWasRemoved)
-{
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    core.onAnswerReady(attempt(1), Start + 10ms);
-    core.setEndpoints({}, Start + 11ms);
-    EXPECT_TRUE(core.holds(attempt(1)));
-    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start + 20ms).empty());
-    EXPECT_EQ(core.accepted(), 0U);
-}
-
-TEST(TargetCoreTest, endpointRemovedByATicketFinishesItsWork)
-{
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    core.onOpen(openRequest(2, 1s), {}, Start);
-    core.setEndpoints({}, Start);
-    EXPECT_TRUE(refusesWith(core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::EndpointElsewhere));
-    EXPECT_EQ(core.onAnswered(attempt(1), nullptr, Start + 10ms).size(), 1U);
-    core.onAnswered(attempt(2), nullptr, Start + 20ms);
-    EXPECT_EQ(core.accepted(), 0U);
-}
-
-TEST(TargetCoreTest, inputReadAfterAPauseIsAged)
-{
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    EXPECT_TRUE(refusesWith(core.onOpen(openRequest(1, 1s), 3s, Start), ResultCode::StartTooLate));
-}
-
-TEST(TargetCoreTest, deadlineEndsARunningRequest)
-{
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    const TargetActions actions = core.tick(Start + 1s);
+    EXPECT_EQ(m_core.accepted(), 2U) << "its transfer is not over";
+    EXPECT_TRUE(m_core.onAnswerReady(attempt(1), Start + 11ms).empty());
+    m_core.onOpen(openRequest(3, 1s), {}, Start + 11ms);
+    EXPECT_TRUE(m_core.onAnswerReady(attempt(2), Start + 12ms).empty()) << "as many transfers as slots";
+    EXPECT_TRUE(m_core.onAnswered(attempt(1), nullptr, Start + 20ms).empty()) << "its slot was freed before";
+    EXPECT_EQ(m_core.onAnswered(attempt(2), nullptr, Start + 21ms).size(), 1U);
+    EXPECT_EQ(m_core.accepted(), 1U);
+}
+
+TEST_F(TargetCoreTest, transferGoesOnAfterItsEndpointWasRemoved)
+{
+    m_core.onOpen(openRequest(1, 1s), {}, Start);
+    m_core.onAnswerReady(attempt(1), Start + 10ms);
+    m_core.setEndpoints({}, Start + 11ms);
+    EXPECT_TRUE(m_core.holds(attempt(1)));
+    EXPECT_TRUE(m_core.onAnswered(attempt(1), nullptr, Start + 20ms).empty());
+    EXPECT_EQ(m_core.accepted(), 0U);
+}
+
+TEST_F(TargetCoreTest, endpointRemovedByATicketFinishesItsWork)
+{
+    fill();
+    m_core.setEndpoints({}, Start);
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::EndpointElsewhere));
+    EXPECT_EQ(m_core.onAnswered(attempt(1), nullptr, Start + 10ms).size(), 1U);
+    m_core.onAnswered(attempt(2), nullptr, Start + 20ms);
+    EXPECT_EQ(m_core.accepted(), 0U);
+}
+
+TEST_F(TargetCoreTest, inputReadAfterAPauseIsAged)
+{
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(1, 1s), 3s, Start), ResultCode::StartTooLate));
+}
+
+TEST_F(TargetCoreTest, deadlineEndsARunningRequest)
+{
+    m_core.onOpen(openRequest(1, 1s), {}, Start);
+    const TargetActions actions = m_core.tick(Start + 1s);
     ASSERT_EQ(actions.size(), 2U);
     EXPECT_TRUE(std::holds_alternative<targetaction::Fail>(actions[0]));
     EXPECT_TRUE(std::holds_alternative<targetaction::Abort>(actions[1]));
-    EXPECT_EQ(core.load(EndpointId("e")), 0);
+    EXPECT_EQ(m_core.load(EndpointId("e")), 0);
 }
 
-TEST(TargetCoreTest, fenceWithdrawsAWaitingCall)
+TEST_F(TargetCoreTest, fenceWithdrawsAWaitingCall)
 {
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    core.onOpen(openRequest(2, 1s), {}, Start);
-    const TargetActions actions = core.onFence({attempt(2), Incarnation(1), LinkGeneration(2)}, Start);
+    fill();
+    const TargetActions actions = m_core.onFence({attempt(2), Incarnation(1), LinkGeneration(2)}, Start);
     ASSERT_EQ(actions.size(), 1U);
     EXPECT_EQ(std::get<targetaction::ReplyToFence>(actions[0]).answer.status, FenceStatus::NotRun);
-    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start).empty()) << "the fenced one never starts";
+    EXPECT_TRUE(m_core.onAnswered(attempt(1), nullptr, Start).empty()) << "the fenced one never starts";
 }
 
-TEST(TargetCoreTest, cancelledWaitingCallIsNotRun)
+TEST_F(TargetCoreTest, cancelledWaitingCallIsNotRun)
 {
-    ManualClock clock;
-    Metrics metrics(clock);
-    TargetCore core(Incarnation(1), {}, metrics);
-    core.setEndpoints({{EndpointId("e"), 1, false}}, Start);
-    core.onOpen(openRequest(1, 1s), {}, Start);
-    core.onOpen(openRequest(2, 1s), {}, Start);
-    EXPECT_TRUE(refusesWith(core.onCancel(attempt(2), Start), ResultCode::CallWithdrawn));
-    EXPECT_TRUE(core.onAnswered(attempt(1), nullptr, Start).empty()) << "nothing is left to start";
+    fill();
+    EXPECT_TRUE(refusesWith(m_core.onCancel(attempt(2), Start), ResultCode::CallWithdrawn));
+    EXPECT_TRUE(m_core.onAnswered(attempt(1), nullptr, Start).empty()) << "nothing is left to start";
 }
--- a/unittests/net/httpclienttest.cpp
+++ b/unittests/net/httpclienttest.cpp
@@ -68,6 +68,17 @@
         return outcome;
     }
 
+    /// How a transfer ends that nobody answers.
+    HttpClientResult outcomeOf(const HttpClientRequest &made)
+    {
+        std::optional<HttpClientResult> outcome;
+        m_client.fetch(made, [&](const HttpClientResult &result, unsigned, const HttpHeaders &, const std::string &) {
+            outcome = result;
+        });
+        EXPECT_TRUE(runUntil(m_loop, [&] { return outcome.has_value(); }));
+        return outcome.value_or(HttpClientResult {});
+    }
+
     Loop m_loop;
     SocketAddress m_address = testAddress();
     TestListener m_listener {m_address};
@@ -134,9 +145,7 @@
         done = true;
     };
     m_client.start(request(), handlers);
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = m_listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, m_listener);
     runUntil(m_loop, [&] { return peer.received("\r\n\r\n"); });
     peer.write("HTTP/1.1 200 OK\r\nContent-Length: 77\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
     EXPECT_TRUE(runUntil(m_loop, [&] { return done; }));
@@ -168,13 +177,7 @@
 {
     HttpClientRequest made = request("POST");
     made.url = "http://" + testAddress().toString() + "/";
-    bool done = false;
-    HttpClientResult outcome;
-    m_client.fetch(made, [&](const HttpClientResult &result, unsigned, const HttpHeaders &, const std::string &) {
-        outcome = result;
-        done = true;
-    });
-    EXPECT_TRUE(runUntil(m_loop, [&] { return done; }));
+    const HttpClientResult outcome = outcomeOf(made);
     EXPECT_EQ(outcome.code, ResultCode::HttpTransferFailed);
     EXPECT_FALSE(outcome.requestSent);
 }
@@ -236,9 +239,7 @@
         done = true;
     };
     transfer = m_client.start(request(), handlers);
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = m_listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, m_listener);
     const std::string answer
         = "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(BodyBytes) + "\r\n\r\n" + std::string(BodyBytes, 'x');
     std::string_view rest = answer;
@@ -268,9 +269,7 @@
     int calls = 0;
     const auto transfer = m_client.fetch(
         request(), [&](const HttpClientResult &, unsigned, const HttpHeaders &, const std::string &) { ++calls; });
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = m_listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, m_listener);
     runUntil(m_loop, [&] { return peer.received("\r\n\r\n"); });
     transfer->cancel();
     EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isOver(); }));
@@ -281,13 +280,7 @@
 {
     HttpClientRequest made = request();
     made.timeout = 50ms;
-    bool done = false;
-    HttpClientResult outcome;
-    m_client.fetch(made, [&](const HttpClientResult &result, unsigned, const HttpHeaders &, const std::string &) {
-        outcome = result;
-        done = true;
-    });
-    EXPECT_TRUE(runUntil(m_loop, [&] { return done; }));
+    const HttpClientResult outcome = outcomeOf(made);
     EXPECT_EQ(outcome.code, ResultCode::DeadlineExceeded);
 }
 
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -161,9 +161,7 @@
     TestListener listener(m_address);
     const auto pool = makePool("h1", testAddress());
     const auto link = pool->connect(HostId("h2"), m_address);
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, listener);
     peer.write(hello("h3"));
     EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty(); }));
     EXPECT_EQ(m_down, std::vector<ResultCode> {ResultCode::LinkWrongPeer});
@@ -202,9 +200,7 @@
     TestListener listener(m_address);
     const auto pool = makePool("h1", testAddress());
     const auto link = pool->connect(HostId("h2"), m_address);
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, listener);
     peer.write(hello("h2"));
     ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
     if (held) {
@@ -265,9 +261,7 @@
     TestListener listener(m_address, SmallBufferBytes);
     const auto pool = makePool("h1", testAddress());
     const auto link = pool->connect(HostId("h2"), m_address);
-    Descriptor socket;
-    runUntil(m_loop, [&] { return (socket = listener.accept()).isOpen(); });
-    TestPeer peer(std::move(socket));
+    TestPeer peer = acceptPeer(m_loop, listener);
     peer.write(hello("h2"));
     ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
     for (int i = 0; i < Pieces; ++i) {
--- a/unittests/net/testpeer.h
+++ b/unittests/net/testpeer.h
@@ -5,6 +5,8 @@
 #include "jasminemast/net/loop.h"
 #include "jasminemast/net/socketaddress.h"
 
+#include <gtest/gtest.h>
+
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -125,4 +127,12 @@
     Descriptor m_socket;
 };
 
+/// Runs the loop until somebody has connected to \p listener.
+inline TestPeer acceptPeer(Loop &loop, TestListener &listener)
+{
+    Descriptor socket;
+    EXPECT_TRUE(runUntil(loop, [&] { return (socket = listener.accept()).isOpen(); }));
+    return TestPeer(std::move(socket));
+}
+
 } // namespace jasminemast
--- a/unittests/spread/fakefleet.cpp
+++ b/unittests/spread/fakefleet.cpp
@@ -1,4 +1,4 @@
-// The queue, the fake service and the checks of FakeFleet.
+// Processes, the queue of delayed messages and the checks of FakeFleet.
 #include "fakefleet.h"
 
 #include <algorithm>
@@ -9,7 +9,6 @@
 namespace
 {
 
-const ZoneId ServiceZone("service");
 constexpr std::size_t DatagramOverhead = 28; ///< IP and UDP headers
 constexpr std::size_t StreamOverhead = 40; ///< IP and TCP headers
 constexpr std::size_t HttpOverhead = 300; ///< request and answer headers of one call to the service
@@ -52,6 +51,7 @@
 FakeFleet::FakeFleet(FleetOptions options)
     : m_options(std::move(options))
     , m_random(m_options.seed)
+    , m_network(m_options.delays, m_options.settings.storeRegion, m_random)
 {
     for (unsigned region = 0; region < m_options.regions; ++region) {
         for (unsigned zone = 0; zone < m_options.zonesPerRegion; ++zone) {
@@ -152,41 +152,6 @@
     std::visit([this, index](const auto &concrete) { carry(index, concrete); }, action);
 }
 
-bool FakeFleet::passes(const ZoneId &from, const ZoneId &to) const
-{
-    return !m_path || m_path(from, to);
-}
-
-RegionId FakeFleet::regionOf(const ZoneId &zone) const
-{
-    return zone == ServiceZone ? m_options.settings.storeRegion : RegionId(zone.value().substr(0, 2));
-}
-
-Duration FakeFleet::delayBetween(const ZoneId &from, const ZoneId &to)
-{
-    auto delay = m_options.zoneDelay;
-    if (regionOf(from) != regionOf(to)) {
-        delay = m_options.paidDelay;
-    } else if (from == ServiceZone || to == ServiceZone) {
-        delay = m_options.serviceDelay;
-    } else if (from != to) {
-        delay = m_options.regionDelay;
-    }
-    return delay + Microseconds(m_random.below(static_cast<std::uint64_t>(delay.count() / 4 + 1)));
-}
-
-void FakeFleet::countBytes(const ZoneId &from, const ZoneId &to, std::size_t size, bool body)
-{
-    if (regionOf(from) != regionOf(to)) {
-        m_bytes.paid += size;
-        m_bytes.paidBodies += body ? size : 0;
-    } else if (from != to) {
-        m_bytes.betweenZones += size;
-    } else {
-        m_bytes.inZone += size;
-    }
-}
-
 void FakeFleet::carry(std::size_t from, const SendMessage &action)
 {
     if (onDatagram) {
@@ -200,11 +165,11 @@
     const auto &fromZone = m_nodes[from]->entry.zone;
     const auto &toZone = m_nodes[to]->entry.zone;
     const auto bytes = encodeControlMessage(action.message);
-    countBytes(fromZone, toZone, bytes.size() + DatagramOverhead, false);
-    if (!passes(fromZone, toZone) || m_random.unit() < m_loss) {
+    m_network.count(fromZone, toZone, bytes.size() + DatagramOverhead, false);
+    if (!m_network.passes(fromZone, toZone) || m_network.drops()) {
         return;
     }
-    scheduleFlow(to, delayBetween(fromZone, toZone),
+    scheduleFlow(to, m_network.delay(fromZone, toZone),
                  [this, to, bytes] { deliver(to, MessageReceived {decodeControlMessage(bytes)}); });
 }
 
@@ -214,11 +179,11 @@
     const auto &fromZone = m_nodes[from]->entry.zone;
     const auto &toZone = m_nodes[to]->entry.zone;
     const auto bytes = encodePullRequest(action.request);
-    countBytes(fromZone, toZone, bytes.size() + StreamOverhead, false);
-    if (!passes(fromZone, toZone) || !passes(toZone, fromZone)) {
+    m_network.count(fromZone, toZone, bytes.size() + StreamOverhead, false);
+    if (!m_network.passes(fromZone, toZone) || !m_network.passes(toZone, fromZone)) {
         return;
     }
-    const auto delay = delayBetween(fromZone, toZone);
+    const auto delay = m_network.delay(fromZone, toZone);
     if (!m_nodes[to]->alive) {
         scheduleFlow(from, 2 * delay, [this, from, id = action.request.id] { deliver(from, PullFailed {id}); });
         return;
@@ -235,43 +200,34 @@
     const auto &fromZone = m_nodes[from]->entry.zone;
     const auto &toZone = m_nodes[to]->entry.zone;
     const auto bytes = encodePullAnswer(action.answer);
-    countBytes(fromZone, toZone, bytes.size() + StreamOverhead, !action.answer.tickets.empty());
+    m_network.count(fromZone, toZone, bytes.size() + StreamOverhead, !action.answer.tickets.empty());
     if (action.answer.id != 0 && action.answer.result == PullResult::Served) {
         const bool snapshot = !action.answer.snapshot.empty();
         scheduleFlow(from, Milliseconds(1), [this, from, snapshot] { deliver(from, AnswerSent {snapshot}); });
     }
-    if (!passes(fromZone, toZone) || !passes(toZone, fromZone)) {
+    if (!m_network.passes(fromZone, toZone) || !m_network.passes(toZone, fromZone)) {
         return;
     }
-    scheduleFlow(to, delayBetween(fromZone, toZone),
+    scheduleFlow(to, m_network.delay(fromZone, toZone),
                  [this, to, bytes] { deliver(to, PullAnswered {decodePullAnswer(bytes)}); });
 }
 
-void FakeFleet::countServiceCall()
-{
-    ++m_serviceCalls;
-    m_recentCalls.push_back(m_clock.now());
-    while (m_clock.now() - m_recentCalls.front() >= std::chrono::seconds(1)) {
-        m_recentCalls.pop_front();
-    }
-    m_peakServiceCalls = std::max<std::uint64_t>(m_peakServiceCalls, m_recentCalls.size());
-}
-
 void FakeFleet::carry(std::size_t from, const StartWatch &action)
 {
     const auto &node = *m_nodes[from];
-    countBytes(node.entry.zone, ServiceZone, HttpOverhead, false);
-    if (!passes(node.entry.zone, ServiceZone)) {
+    m_network.count(node.entry.zone, FakeNetwork::serviceZone(), HttpOverhead, false);
+    if (!m_network.passes(node.entry.zone, FakeNetwork::serviceZone())) {
         return;
     }
     const Waiting waiting {from, node.process, m_flowEpoch, action.id, false};
     const auto seen = node.seenHead;
-    schedule(delayBetween(node.entry.zone, ServiceZone), [this, waiting, seen, wait = action.wait] {
-        countServiceCall();
+    schedule(m_network.delay(node.entry.zone, FakeNetwork::serviceZone()), [this, waiting, seen, wait = action.wait] {
+        m_service.countCall(m_clock.now());
         if (waiting.epoch != m_flowEpoch) {
             return;
         }
-        if (m_serviceDown || wait == Milliseconds(0) || !m_serviceHead || servedHead() != seen) {
+        const auto head = m_service.head();
+        if (m_service.isDown() || wait == Milliseconds(0) || !head || head != seen) {
             answerWatch(waiting);
             return;
         }
@@ -289,31 +245,22 @@
     });
 }
 
-Head FakeFleet::servedHead() const
-{
-    return m_frozenHead ? *m_frozenHead : *m_serviceHead;
-}
-
 void FakeFleet::answerWatch(const Waiting &waiting)
 {
     const auto index = waiting.node;
     auto &node = *m_nodes[index];
-    if (waiting.epoch != m_flowEpoch || !passes(ServiceZone, node.entry.zone)) {
+    if (waiting.epoch != m_flowEpoch || !m_network.passes(FakeNetwork::serviceZone(), node.entry.zone)) {
         return;
     }
-    const auto delay = delayBetween(ServiceZone, node.entry.zone);
-    if (m_serviceDown) {
+    const auto delay = m_network.delay(FakeNetwork::serviceZone(), node.entry.zone);
+    if (m_service.isDown()) {
         scheduleFlow(index, delay, [this, index, id = waiting.id] { deliver(index, WatchFailed {id}); });
         return;
     }
-    std::optional<Head> head;
-    if (m_serviceHead) {
-        head = servedHead();
-    }
     if (node.process != waiting.process) {
         return;
     }
-    scheduleFlow(index, delay, [this, index, id = waiting.id, head] {
+    scheduleFlow(index, delay, [this, index, id = waiting.id, head = m_service.head()] {
         m_nodes[index]->seenHead = head;
         deliver(index, WatchAnswered {id, head});
     });
@@ -331,31 +278,29 @@
 {
     const auto zone = m_nodes[from]->entry.zone;
     const auto number = action.number;
-    if (!passes(zone, ServiceZone) || !passes(ServiceZone, zone)) {
+    if (!m_network.passes(zone, FakeNetwork::serviceZone()) || !m_network.passes(FakeNetwork::serviceZone(), zone)) {
         scheduleFlow(from, std::chrono::seconds(1),
                      [this, from, number] { deliver(from, TicketFetchFailed {number}); });
         return;
     }
-    scheduleFlow(from, 2 * delayBetween(zone, ServiceZone), [this, from, zone, number] {
-        countServiceCall();
-        const bool absent = number.value() > m_chain.size() || m_unfiled.contains(number.value());
-        if (m_serviceDown || absent) {
+    scheduleFlow(from, 2 * m_network.delay(zone, FakeNetwork::serviceZone()), [this, from, zone, number] {
+        m_service.countCall(m_clock.now());
+        const auto bytes = m_service.ticket(number);
+        if (!bytes) {
             deliver(from, TicketFetchFailed {number});
             return;
         }
-        const auto served = m_servedBytes.find(number.value());
-        const auto &bytes = served == m_servedBytes.end() ? m_chain.bytes(number.value()) : served->second;
-        countBytes(ServiceZone, zone, bytes.size() + HttpOverhead, true);
-        m_ticketsFetchedAway += regionOf(zone) != m_options.settings.storeRegion ? 1 : 0;
-        deliver(from, TicketFetched {number, bytes});
+        m_network.count(FakeNetwork::serviceZone(), zone, bytes->size() + HttpOverhead, true);
+        m_ticketsFetchedAway += m_network.regionOf(zone) != m_options.settings.storeRegion ? 1 : 0;
+        deliver(from, TicketFetched {number, *bytes});
     });
 }
 
 void FakeFleet::carry(std::size_t from, const FetchCheckpoint &)
 {
     const auto zone = m_nodes[from]->entry.zone;
-    scheduleFlow(from, 2 * delayBetween(zone, ServiceZone), [this, from] {
-        countServiceCall();
+    scheduleFlow(from, 2 * m_network.delay(zone, FakeNetwork::serviceZone()), [this, from] {
+        m_service.countCall(m_clock.now());
         deliver(from, CheckpointFetchFailed {});
     });
 }
@@ -368,10 +313,10 @@
         violation(from,
                   "published " + std::to_string(number.value()) + " after " + std::to_string(node.highest.value()));
     }
-    const auto expected = m_stateDigests.find(number);
-    if (expected == m_stateDigests.end()) {
+    const auto expected = m_service.stateDigest(number);
+    if (!expected) {
         violation(from, "published a ticket that was never accepted: " + std::to_string(number.value()));
-    } else if (expected->second != action.state->stateDigest) {
+    } else if (*expected != action.state->stateDigest) {
         violation(from, "another state for ticket " + std::to_string(number.value()));
     }
     for (auto passed = node.highest.value() + 1; passed <= number.value(); ++passed) {
@@ -387,44 +332,27 @@
 
 TicketNumber FakeFleet::accept()
 {
-    return acceptSections(slotsSection(m_chain.size() + 1));
+    return acceptSections(slotsSection(m_service.chain().size() + 1));
 }
 
 TicketNumber FakeFleet::acceptSections(const std::string &sections)
 {
-    const auto head = m_chain.add(sections);
-    m_expected = applyTicket(m_expected, head.number, m_chain.bytes(head.number.value())).state;
-    m_stateDigests[head.number] = m_expected->stateDigest;
+    const auto head = m_service.accept(sections);
     setServiceHead(head);
     return head.number;
 }
 
 void FakeFleet::setServiceHead(const Head &head)
 {
-    m_acceptedAt.try_emplace(head.number, m_clock.now());
-    m_serviceHead = head;
-    if (!m_frozenHead && !m_serviceDown) {
+    m_service.setHead(head, m_clock.now());
+    if (m_service.showsNewHead()) {
         wakeWatches();
     }
 }
 
-void FakeFleet::setFiled(std::uint64_t number, bool filed)
-{
-    if (filed) {
-        m_unfiled.erase(number);
-    } else {
-        m_unfiled.insert(number);
-    }
-}
-
-void FakeFleet::setServedBytes(std::uint64_t number, std::string bytes)
-{
-    m_servedBytes[number] = std::move(bytes);
-}
-
 void FakeFleet::setServiceDown(bool down)
 {
-    m_serviceDown = down;
+    m_service.setDown(down);
     if (down) {
         wakeWatches();
     }
@@ -432,7 +360,7 @@
 
 void FakeFleet::freezeServiceHead(std::optional<Head> head)
 {
-    m_frozenHead = head;
+    m_service.freezeHead(std::move(head));
     wakeWatches();
 }
 
@@ -461,21 +389,11 @@
     tick(index, node.process);
 }
 
-void FakeFleet::setPath(std::function<bool(const ZoneId &, const ZoneId &)> path)
-{
-    m_path = std::move(path);
-}
-
 void FakeFleet::silenceFlows()
 {
     ++m_flowEpoch;
 }
 
-void FakeFleet::setLoss(double share)
-{
-    m_loss = share;
-}
-
 void FakeFleet::setLeaving(std::size_t index)
 {
     m_nodes[index]->entry.leaving = true;
@@ -561,11 +479,11 @@
 std::optional<Milliseconds> FakeFleet::latency(std::size_t node, TicketNumber number) const
 {
     const auto inForce = m_nodes[node]->inForceAt.find(number);
-    const auto accepted = m_acceptedAt.find(number);
-    if (inForce == m_nodes[node]->inForceAt.end() || accepted == m_acceptedAt.end()) {
+    const auto accepted = m_service.acceptedAt(number);
+    if (inForce == m_nodes[node]->inForceAt.end() || !accepted) {
         return std::nullopt;
     }
-    return std::chrono::ceil<Milliseconds>(inForce->second - accepted->second);
+    return std::chrono::ceil<Milliseconds>(inForce->second - *accepted);
 }
 
 HostList FakeFleet::hostList() const
--- a/unittests/spread/fakefleet.h
+++ b/unittests/spread/fakefleet.h
@@ -3,7 +3,9 @@
 // Checks promise 1 and the digests of every state as it goes: a violation is kept in violations().
 #pragma once
 
-#include "config/ticketchain.h"
+#include "fakenetwork.h"
+#include "fakeservice.h"
+
 #include "jasminemast/spread/spreadcore.h"
 
 #include <functional>
@@ -14,15 +16,6 @@
 namespace jasminemast
 {
 
-/// Traffic by the kind of path it took.
-struct FleetBytes
-{
-    std::uint64_t inZone = 0;
-    std::uint64_t betweenZones = 0; ///< inside one region
-    std::uint64_t paid = 0; ///< between regions
-    std::uint64_t paidBodies = 0; ///< of those, pulls, pushes and fetches of tickets
-};
-
 struct FleetOptions
 {
     unsigned regions = 3;
@@ -30,10 +23,7 @@
     unsigned nodesPerZone = 6;
     SpreadSettings settings;
     std::uint64_t seed = 1;
-    Microseconds zoneDelay {200}; ///< one way
-    Microseconds regionDelay {500};
-    Microseconds paidDelay {20'000};
-    Microseconds serviceDelay {1'000};
+    FakeNetworkDelays delays {};
 };
 
 /// The settings that the fleets of tests run with: region r0 holds the store.
@@ -55,12 +45,18 @@
     void setServiceHead(const Head &head);
     TicketChain &chain()
     {
-        return m_chain;
+        return m_service.chain();
     }
     /// Files a ticket again that was removed, or removes it.
-    void setFiled(std::uint64_t number, bool filed);
+    void setFiled(std::uint64_t number, bool filed)
+    {
+        m_service.setFiled(number, filed);
+    }
     /// Lets the service hand out \p bytes for ticket \p number.
-    void setServedBytes(std::uint64_t number, std::string bytes);
+    void setServedBytes(std::uint64_t number, std::string bytes)
+    {
+        m_service.setServedBytes(number, std::move(bytes));
+    }
     void setServiceDown(bool down);
     /// Answers watches with this head, whatever is accepted; nothing ends that.
     void freezeServiceHead(std::optional<Head> head);
@@ -73,11 +69,17 @@
     void pause(std::size_t node);
     void resume(std::size_t node);
     /// Decides whether a message gets from one zone to another; the service is zone "service". Null: all do.
-    void setPath(std::function<bool(const ZoneId &from, const ZoneId &to)> path);
+    void setPath(FakeNetwork::Path path)
+    {
+        m_network.setPath(std::move(path));
+    }
     /// Loses everything that is under way, as flows that went silent for good.
     void silenceFlows();
     /// Drops this share of all datagrams.
-    void setLoss(double share);
+    void setLoss(double share)
+    {
+        m_network.setLoss(share);
+    }
     /// Marks a node as leaving in the host list, or takes it off the list.
     void setLeaving(std::size_t node);
 
@@ -105,16 +107,16 @@
     [[nodiscard]] std::optional<Milliseconds> latency(std::size_t node, TicketNumber number) const;
     [[nodiscard]] const FleetBytes &bytes() const
     {
-        return m_bytes;
+        return m_network.bytes();
     }
     [[nodiscard]] std::uint64_t serviceCalls() const
     {
-        return m_serviceCalls;
+        return m_service.calls();
     }
     /// The most calls that the service has had in any one second.
     [[nodiscard]] std::uint64_t peakServiceCalls() const
     {
-        return m_peakServiceCalls;
+        return m_service.peakCalls();
     }
     [[nodiscard]] std::uint64_t ticketsFetchedAway() const
     {
@@ -163,41 +165,22 @@
     }
     void answerWatch(const Waiting &waiting);
     void wakeWatches();
-    void countServiceCall();
-    void countBytes(const ZoneId &from, const ZoneId &to, std::size_t size, bool body);
-    [[nodiscard]] Duration delayBetween(const ZoneId &from, const ZoneId &to);
-    [[nodiscard]] bool passes(const ZoneId &from, const ZoneId &to) const;
-    [[nodiscard]] RegionId regionOf(const ZoneId &zone) const;
     [[nodiscard]] HostList hostList() const;
-    [[nodiscard]] Head servedHead() const;
     void startProcess(std::size_t node);
     void violation(std::size_t node, const std::string &what);
 
     FleetOptions m_options;
     ManualClock m_clock;
     Random m_random;
+    FakeNetwork m_network;
     std::priority_queue<Job, std::vector<Job>, std::greater<>> m_jobs;
     std::uint64_t m_order = 0;
     std::vector<std::unique_ptr<Node>> m_nodes;
     std::map<HostId, std::size_t> m_byHost;
-    TicketChain m_chain;
-    std::map<TicketNumber, TimePoint> m_acceptedAt;
-    std::map<TicketNumber, Digest> m_stateDigests; ///< expected, by number
-    StatePtr m_expected = emptyState();
-    std::optional<Head> m_serviceHead;
-    std::optional<Head> m_frozenHead;
-    std::set<std::uint64_t> m_unfiled;
-    std::map<std::uint64_t, std::string> m_servedBytes;
-    bool m_serviceDown = false;
+    FakeService m_service;
     std::vector<Waiting> m_watches;
-    std::function<bool(const ZoneId &, const ZoneId &)> m_path;
-    double m_loss = 0;
     std::uint64_t m_flowEpoch = 0;
-    FleetBytes m_bytes;
-    std::uint64_t m_serviceCalls = 0;
-    std::uint64_t m_peakServiceCalls = 0;
     std::uint64_t m_ticketsFetchedAway = 0;
-    std::deque<TimePoint> m_recentCalls;
     std::vector<std::string> m_violations;
 };
 
