[net] send bodies between nodes at the rate of the host's link, shortest rest first

All transfers shared the link by turns and filled the kernel's buffers, so that all ended late (p50 of jig-drawing 1,023 ms against an aim of 1,200), and small answers, heartbeats and calls to the store of these hosts waited behind them: alloy-read missed its 1 s and the booking that needed it failed (500: 451). Ruled out: slots (busy by a fifth), the processor (1.3 % of a core on the mean), the size of the listing. Change: with /links/megabitsPerSecond a node holds bodies back itself, so that the kernel's queue stays short, and lets them go in an order: least left first, those that end too late anyway last (unless they are short).

--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -2,10 +2,12 @@
 //
 // Frame: 4 bytes little-endian length of what follows, 1 byte type, payload. Types below 16 belong to the link
 // itself (hello, heartbeats); the rest belong to its users. Urgent frames overtake bulk frames; bulk frames of
-// different streams take turns, so that a long body does not hold back a short one.
+// different streams take turns, so that a long body does not hold back a short one. On a host that is told the rate of
+// its own link to the network, bulk frames of all links go in the order of SendSchedule instead.
 #pragma once
 
 #include "jasminemast/net/loop.h"
+#include "jasminemast/net/sendpacer.h"
 #include "jasminemast/net/socketaddress.h"
 #include "jasminemast/support/ids.h"
 #include "jasminemast/support/result.h"
@@ -21,7 +23,6 @@
 {
 
 using FrameType = std::uint8_t;
-using StreamId = StrongId<struct StreamTag, std::uint64_t>;
 
 /// Who is at an end of a link.
 struct LinkIdentity
@@ -59,7 +60,8 @@
         StateHandler onDown; ///< called once
     };
 
-    Link(Loop &loop, const Clock &clock, LinkIdentity self, Handlers handlers);
+    /// \p pacer outlives the link.
+    Link(Loop &loop, const Clock &clock, LinkIdentity self, SendPacer &pacer, Handlers handlers);
 
     /// Dials \p address and expects \p host there.
     void dial(const HostId &host, const SocketAddress &address);
@@ -68,11 +70,21 @@
 
     /// Queues a frame that overtakes bulk frames.
     void send(FrameType type, std::string_view payload);
-    /// Queues a frame behind the earlier bulk frames of \p stream only.
-    void sendBulk(StreamId stream, FrameType type, std::string_view payload);
+    /// Queues a frame behind the earlier bulk frames of \p stream only. \p rank is of the stream from this frame on,
+    /// and counts on hosts that are told the rate of their own link.
+    void sendBulk(StreamId stream, FrameType type, std::string_view payload, const BulkRank &rank = {});
     /// Drops the bulk frames of \p stream that are still queued.
     void dropBulk(StreamId stream);
 
+    /// True while a bulk frame that is let go would be written soon: nothing written earlier is stuck.
+    [[nodiscard]] bool canTakeBulk() const;
+    [[nodiscard]] bool hasBulk(StreamId stream) const
+    {
+        return m_bulk.contains(stream);
+    }
+    /// Lets the next bulk frame of \p stream go, which has one; returns its size.
+    std::size_t releaseBulk(StreamId stream);
+
     /// Closes the link; onDown follows later in this loop iteration.
     void close(ResultCode reason);
 
@@ -100,7 +112,7 @@
     /// True while frames wait to be written.
     [[nodiscard]] bool hasPending() const
     {
-        return m_batchOffset < m_batch.size() || !m_urgent.empty() || !m_bulk.empty();
+        return m_batchOffset < m_batch.size() || !m_urgent.empty() || !m_released.empty() || !m_bulk.empty();
     }
     [[nodiscard]] bool isHeld() const
     {
@@ -142,11 +154,13 @@
     void scheduleFlush();
     void flush();
     void fillBatch();
+    std::string takeBulk(StreamId stream);
     void watch(bool writable);
 
     Loop &m_loop;
     const Clock &m_clock;
     LinkIdentity m_self;
+    SendPacer &m_pacer;
     Handlers m_handlers;
     Descriptor m_socket;
     IoWatcher m_watcher;
@@ -167,6 +181,7 @@
     std::string m_batch; ///< frames being written; m_batchOffset of it is written
     std::size_t m_batchOffset = 0;
     std::deque<std::string> m_urgent;
+    std::string m_released; ///< bulk frames that the pacer has let go
     std::map<StreamId, std::deque<std::string>> m_bulk; ///< invariant: no deque is empty
     StreamId m_lastBulkStream; ///< stream that had the last turn
 };
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -16,6 +16,7 @@
     Milliseconds heartbeatInterval {500}; ///< probe of a link whose peer owes an answer for this long
     Milliseconds silenceLimit {1'500}; ///< a link whose peer owes an answer for this long is abandoned
     Milliseconds idleLimit {30'000}; ///< an unused link is closed after this time
+    ByteRate rate; ///< of the host's own link to the network; 0: bodies go as fast as the kernel takes them
 };
 
 /// Owns every link of the process.
@@ -55,6 +56,7 @@
     LinkIdentity m_self;
     LinkSettings m_settings;
     Link::Handlers m_handlers;
+    SendPacer m_pacer;
     Descriptor m_listener;
     IoWatcher m_acceptWatcher;
     Timer m_checkTimer;
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -10,6 +10,7 @@
 #include <cassert>
 #include <cerrno>
 #include <cstring>
+#include <utility>
 
 namespace jasminemast
 {
@@ -65,10 +66,11 @@
 
 } // namespace
 
-Link::Link(Loop &loop, const Clock &clock, LinkIdentity self, Handlers handlers)
+Link::Link(Loop &loop, const Clock &clock, LinkIdentity self, SendPacer &pacer, Handlers handlers)
     : m_loop(loop)
     , m_clock(clock)
     , m_self(std::move(self))
+    , m_pacer(pacer)
     , m_handlers(std::move(handlers))
     , m_watcher(loop, [this](int events) { onIo(events); })
     , m_quietSince(clock.now())
@@ -143,7 +145,7 @@
     }
 }
 
-void Link::sendBulk(StreamId stream, FrameType type, std::string_view payload)
+void Link::sendBulk(StreamId stream, FrameType type, std::string_view payload, const BulkRank &rank)
 {
     if (m_closed) {
         return;
@@ -151,12 +153,31 @@
     m_lastUsed = m_clock.now();
     noteSending();
     m_bulk[stream].push_back(makeFrame(type, payload));
-    scheduleFlush();
+    if (m_pacer.isLimited()) {
+        m_pacer.offer(*this, stream, rank);
+    } else {
+        scheduleFlush();
+    }
 }
 
 void Link::dropBulk(StreamId stream)
 {
     m_bulk.erase(stream);
+    m_pacer.withdraw(*this, stream);
+}
+
+bool Link::canTakeBulk() const
+{
+    const bool isWritten = m_batchOffset == m_batch.size();
+    return !m_closed && !m_connecting && isWritten && m_released.size() < LinkLimits::WriteBatchBytes;
+}
+
+std::size_t Link::releaseBulk(StreamId stream)
+{
+    const std::string frame = takeBulk(stream);
+    m_released += frame;
+    scheduleFlush();
+    return frame.size();
 }
 
 void Link::close(ResultCode reason)
@@ -169,7 +190,9 @@
     m_watcher.stop();
     m_socket.close();
     m_urgent.clear();
+    m_released.clear();
     m_bulk.clear();
+    m_pacer.forget(*this);
     m_loop.post([self = shared_from_this(), reason] { self->m_handlers.onDown(self, reason); });
 }
 
@@ -341,18 +364,31 @@
         m_batch += m_urgent.front();
         m_urgent.pop_front();
     }
+    if (m_pacer.isLimited()) {
+        m_pacer.sentUrgent(m_batch.size());
+        m_batch += std::exchange(m_released, {});
+        return;
+    }
     while (!m_bulk.empty() && m_batch.size() < LinkLimits::WriteBatchBytes) {
         auto turn = m_bulk.upper_bound(m_lastBulkStream);
         if (turn == m_bulk.end()) {
             turn = m_bulk.begin();
         }
         m_lastBulkStream = turn->first;
-        m_batch += turn->second.front();
-        turn->second.pop_front();
-        if (turn->second.empty()) {
-            m_bulk.erase(turn);
-        }
+        m_batch += takeBulk(turn->first);
+    }
+}
+
+std::string Link::takeBulk(StreamId stream)
+{
+    const auto place = m_bulk.find(stream);
+    assert(place != m_bulk.end() && "only a stream with frames gets a turn");
+    std::string frame = std::move(place->second.front());
+    place->second.pop_front();
+    if (place->second.empty()) {
+        m_bulk.erase(place);
     }
+    return frame;
 }
 
 void Link::flush()
@@ -366,6 +402,7 @@
         }
         if (m_batch.empty()) {
             watch(false);
+            m_pacer.resume();
             return;
         }
         const ssize_t size
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -38,6 +38,7 @@
     , m_self(std::move(self))
     , m_settings(settings)
     , m_handlers(std::move(handlers))
+    , m_pacer(loop, clock, settings.rate)
     , m_listener(listenOn(local))
     , m_acceptWatcher(loop, [this](int) { acceptAll(); })
     , m_checkTimer(loop, [this] { checkLinks(); })
@@ -83,7 +84,7 @@
     handlers.onDown = [this](const std::shared_ptr<Link> &link, ResultCode reason) {
         onDown(link, reason);
     };
-    auto link = std::make_shared<Link>(m_loop, m_clock, m_self, std::move(handlers));
+    auto link = std::make_shared<Link>(m_loop, m_clock, m_self, m_pacer, std::move(handlers));
     m_links.insert(link);
     return link;
 }
--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -64,9 +64,10 @@
     std::string_view rest(body);
     while (!rest.empty()) {
         const std::string_view piece = rest.substr(0, CallProtocol::DataFrameBytes);
+        const BulkRank rank {rest.size(), body.size() - rest.size()};
         rest.remove_prefix(piece.size());
         link->sendBulk(StreamId(open.stream), static_cast<FrameType>(CallFrame::RequestBody),
-                       encodeDataFrame(open.stream, piece));
+                       encodeDataFrame(open.stream, piece), rank);
     }
     return std::make_unique<RemoteHandle>(*this, key);
 }
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -23,11 +23,13 @@
 class CallServer::LinkSink final : public AnswerSink
 {
 public:
-    LinkSink(CallServer &server, std::shared_ptr<Link> link, std::uint64_t stream)
+    /// An answer after \p usefulUntil has lost most of its worth to the caller.
+    LinkSink(CallServer &server, std::shared_ptr<Link> link, std::uint64_t stream, TimePoint usefulUntil)
         : m_server(server)
         , m_link(std::move(link))
         , m_stream(stream)
     {
+        m_rank.usefulUntil = usefulUntil;
     }
 
     void refused(ResultCode code, const std::string &detail, float load) override
@@ -41,6 +43,7 @@
     {
         HeadMessage message = head;
         message.stream = m_stream;
+        m_rank.remaining = head.length;
         m_link->send(static_cast<FrameType>(CallFrame::Head), encodeMessage(message));
     }
 
@@ -50,14 +53,18 @@
             const std::string_view piece = bytes.substr(0, CallProtocol::DataFrameBytes);
             bytes.remove_prefix(piece.size());
             m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::Data),
-                             encodeDataFrame(m_stream, piece));
+                             encodeDataFrame(m_stream, piece), m_rank);
+            m_rank.sent += piece.size();
+            if (m_rank.remaining) {
+                *m_rank.remaining -= std::min<std::uint64_t>(*m_rank.remaining, piece.size());
+            }
         }
     }
 
     void end(ResultCode code, const std::string &detail) override
     {
         const EndMessage message {m_stream, static_cast<std::uint32_t>(number(code)), detail};
-        m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::End), encodeMessage(message));
+        m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::End), encodeMessage(message), m_rank);
         m_server.erase({m_link.get(), m_stream});
     }
 
@@ -74,6 +81,7 @@
     CallServer &m_server;
     std::shared_ptr<Link> m_link;
     std::uint64_t m_stream;
+    BulkRank m_rank; ///< of the answer's next piece
 };
 
 CallServer::CallServer(TargetSide &target, const Clock &clock, const PauseGuard &pauseGuard,
@@ -144,7 +152,7 @@
     }
     auto stream = std::make_unique<Stream>(link);
     stream->arrived = m_clock.now();
-    stream->attempt = m_target.fence(fence, std::make_shared<LinkSink>(*this, link, fence.stream));
+    stream->attempt = m_target.fence(fence, std::make_shared<LinkSink>(*this, link, fence.stream, TimePoint::max()));
     m_streams.emplace(key, std::move(stream));
 }
 
@@ -190,7 +198,9 @@
         return;
     }
     const OpenMessage open = stream.open;
-    const auto sink = std::make_shared<LinkSink>(*this, link, open.stream);
+    const TimePoint usefulUntil
+        = open.usefulMs == INT32_MAX ? TimePoint::max() : stream.arrived + Milliseconds(open.usefulMs);
+    const auto sink = std::make_shared<LinkSink>(*this, link, open.stream, usefulUntil);
     stream.attempt = m_target.open(open, std::move(stream.body), sink, stream.arrived);
 }
 
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -31,6 +31,9 @@
     links.heartbeatInterval = reader.milliseconds("heartbeatMs", 10ms, 60'000ms, links.heartbeatInterval);
     links.silenceLimit = reader.milliseconds("silenceMs", 30ms, 300'000ms, links.silenceLimit);
     links.idleLimit = reader.milliseconds("idleMs", 100ms, 3'600'000ms, links.idleLimit);
+    constexpr double MostMegabits = 100'000;
+    constexpr double BytesPerMegabit = 125'000;
+    links.rate = ByteRate(reader.real("megabitsPerSecond", 0, MostMegabits, 0) * BytesPerMegabit);
     if (links.silenceLimit < links.heartbeatInterval * 2) {
         reader.fail(ResultCode::SettingsOutOfRange, "silenceMs", "at least twice heartbeatMs");
     }
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -61,7 +61,7 @@
     }
 
     std::unique_ptr<LinkPool> makePool(const std::string &host, const SocketAddress &address, const Clock &clock,
-                                       Milliseconds idleLimit)
+                                       Milliseconds idleLimit, ByteRate rate = ByteRate(0))
     {
         Link::Handlers handlers;
         handlers.onFrame = [this](const std::shared_ptr<Link> &, FrameType, std::string_view payload) {
@@ -74,7 +74,7 @@
             m_down.push_back(reason);
         };
         return std::make_unique<LinkPool>(m_loop, clock, LinkIdentity {HostId(host), Incarnation(5)}, address,
-                                          LinkSettings {20ms, 60ms, idleLimit}, handlers);
+                                          LinkSettings {20ms, 60ms, idleLimit, rate}, handlers);
     }
 
     /// Moves the test's clock with the loop's time until \p done holds.
@@ -294,5 +294,49 @@
     EXPECT_EQ(m_frames, std::vector<std::string> {"kept"});
 }
 
+TEST_F(LinkTest, PacedBodiesKeepTheRateAndUrgentFramesDoNotWait)
+{
+    constexpr ByteRate Rate {1'000'000};
+    constexpr int Pieces = 100;
+    const std::string piece(16'000, '1');
+    const auto server = makePool("h2", m_address);
+    const auto pool = makePool("h1", testAddress(), m_clock, 30'000ms, Rate);
+    const auto link = pool->connect(HostId("h2"), m_address);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
+    for (int i = 0; i < Pieces; ++i) {
+        link->sendBulk(StreamId(1), BulkType, piece);
+    }
+    int ticks = 0;
+    runUntil(m_loop, [&] { return ++ticks > 20; });
+    link->send(UserType, "urgent");
+    const auto received = [this](const std::string &payload) {
+        return std::count(m_frames.begin(), m_frames.end(), payload);
+    };
+    // The clock stands still: only the burst may go, and what is urgent.
+    ASSERT_TRUE(runUntil(m_loop, [&] { return received("urgent") == 1; }));
+    EXPECT_LE(received(piece), 4);
+    const TimePoint begun = m_clock.now();
+    ASSERT_TRUE(runTicking([&] { return received(piece) == Pieces; }));
+    EXPECT_GT(m_clock.now() - begun, 1'500ms);
+}
+
+TEST_F(LinkTest, ClosedLinkGivesItsPartOfTheRateToOthers)
+{
+    constexpr ByteRate Rate {1'000'000};
+    const SocketAddress otherAddress = testAddress();
+    const auto server = makePool("h2", m_address);
+    const auto other = makePool("h3", otherAddress);
+    const auto pool = makePool("h1", testAddress(), m_clock, 30'000ms, Rate);
+    const auto closing = pool->connect(HostId("h2"), m_address);
+    const auto staying = pool->connect(HostId("h3"), otherAddress);
+    for (int i = 0; i < 10; ++i) {
+        closing->sendBulk(StreamId(1), BulkType, std::string(16'000, '1'));
+    }
+    closing->close(ResultCode::LinkLost);
+    staying->sendBulk(StreamId(2), BulkType, "kept");
+    EXPECT_TRUE(runTicking([&] { return !m_frames.empty(); }));
+    EXPECT_EQ(m_frames, std::vector<std::string> {"kept"});
+}
+
 } // namespace
 } // namespace jasminemast
