--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -29,9 +29,12 @@
 {
 public:
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
+    /// How long the answers that wait need on the host's link.
+    using BacklogMeter = std::function<Duration()>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer);
+               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
+               BacklogMeter backlog);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
@@ -68,6 +71,8 @@
     void scheduleTick();
     void followConfiguration();
     void probeHealth();
+    /// What callers are told of the endpoint's load.
+    [[nodiscard]] float loadOf(const EndpointId &endpoint) const;
     [[nodiscard]] std::string urlOf(const EndpointId &endpoint) const;
 
     Loop &m_loop;
@@ -77,6 +82,7 @@
     TargetSideIdentity m_identity;
     const CallSettings &m_settings;
     Announcer m_announcer;
+    BacklogMeter m_backlog;
     HttpClient m_http;
     HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
     TargetCore m_core;
