--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -19,8 +19,6 @@
     FenceLimits fence;
     AdmissionLimits admission; ///< `slots` is taken from the endpoint
     DrainLimits drain;
-    /// Backlog of the host's link that counts as much as all slots taken: a call that comes behind it is about as late.
-    Duration backlogAtFull = std::chrono::seconds(1);
 };
 
 /// One endpoint that this node serves, as the configuration says.
@@ -112,8 +110,8 @@
     /// Ends what is past its deadline and repeats announcements. To be called every few milliseconds while busy.
     TargetActions tick(TimePoint now);
 
-    /// Running and waiting over slots, and the \p backlog of answers on the host's link; 0 for an unknown endpoint.
-    [[nodiscard]] double load(const EndpointId &endpoint, Duration backlog) const;
+    /// Running and waiting over slots; 0 for an unknown endpoint.
+    [[nodiscard]] double load(const EndpointId &endpoint) const;
     [[nodiscard]] bool leaving(const EndpointId &endpoint) const;
     /// True for the endpoints of the latest configuration.
     [[nodiscard]] bool serves(const EndpointId &endpoint) const
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -41,12 +41,6 @@
     /// True while a link that is up has frames to write.
     [[nodiscard]] bool hasPending() const;
 
-    /// How long the bodies that wait need on the host's own link to the network.
-    [[nodiscard]] Duration backlog() const
-    {
-        return m_pacer.backlog();
-    }
-
     /// Calls \p visitor for every link that is up.
     void forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const;
 
--- a/include/jasminemast/net/sendpacer.h
+++ b/include/jasminemast/net/sendpacer.h
@@ -19,12 +19,6 @@
         return m_schedule.isLimited();
     }
 
-    /// How long the bodies that wait need on the host's link; zero when they are not held back.
-    [[nodiscard]] Duration backlog() const
-    {
-        return m_schedule.backlog();
-    }
-
     /// The stream of \p link has bulk frames to send; the link is told through releaseBulk().
     void offer(Link &link, StreamId stream, const BulkRank &rank);
     void withdraw(Link &link, StreamId stream);
--- a/include/jasminemast/net/sendschedule.h
+++ b/include/jasminemast/net/sendschedule.h
@@ -76,8 +76,6 @@
     {
         return m_order.empty();
     }
-    /// How long the streams that wait and can still end in time need; zero without a rate.
-    [[nodiscard]] Duration backlog() const;
     /// For how long the rate allows nothing more; zero when it does now.
     [[nodiscard]] Duration pause(TimePoint now);
 
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -29,12 +29,9 @@
 {
 public:
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
-    /// How long the answers that wait need on the host's link.
-    using BacklogMeter = std::function<Duration()>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
-               BacklogMeter backlog);
+               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
@@ -71,8 +68,6 @@
     void scheduleTick();
     void followConfiguration();
     void probeHealth();
-    /// What callers are told of the endpoint's load.
-    [[nodiscard]] float loadOf(const EndpointId &endpoint) const;
     [[nodiscard]] std::string urlOf(const EndpointId &endpoint) const;
 
     Loop &m_loop;
@@ -82,7 +77,6 @@
     TargetSideIdentity m_identity;
     const CallSettings &m_settings;
     Announcer m_announcer;
-    BacklogMeter m_backlog;
     HttpClient m_http;
     HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
     TargetCore m_core;
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -282,13 +282,10 @@
     return actions;
 }
 
-double TargetCore::load(const EndpointId &endpoint, Duration backlog) const
+double TargetCore::load(const EndpointId &endpoint) const
 {
     const auto found = m_endpoints.find(endpoint);
-    if (found == m_endpoints.end()) {
-        return 0;
-    }
-    return found->second.admission.load() + std::chrono::duration<double>(backlog) / m_limits.backlogAtFull;
+    return found == m_endpoints.end() ? 0 : found->second.admission.load();
 }
 
 bool TargetCore::leaving(const EndpointId &endpoint) const
--- a/lib/net/sendschedule.cpp
+++ b/lib/net/sendschedule.cpp
@@ -144,21 +144,6 @@
     m_allowance -= static_cast<double>(bytes);
 }
 
-Duration SendSchedule::backlog() const
-{
-    if (!isLimited()) {
-        return Duration::zero();
-    }
-    double bytes = 0;
-    for (const auto &[isLate, rest, stream] : m_order) {
-        if (isLate) {
-            break;
-        }
-        bytes += static_cast<double>(rest);
-    }
-    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(bytes / m_bytesPerSecond));
-}
-
 Duration SendSchedule::pause(TimePoint now)
 {
     refill(now);
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -56,8 +56,7 @@
 };
 
 TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-                       TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
-                       BacklogMeter backlog)
+                       TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer)
     : m_loop(loop)
     , m_clock(clock)
     , m_config(config)
@@ -65,7 +64,6 @@
     , m_identity(std::move(identity))
     , m_settings(settings)
     , m_announcer(std::move(announcer))
-    , m_backlog(std::move(backlog))
     , m_http(loop, MaxTargetConnections)
     , m_probes(loop)
     , m_core(m_identity.incarnation, TargetLimits {}, metrics)
@@ -158,7 +156,7 @@
     const auto attempt = m_attempts.at(start.attempt);
     attempt->setHeadContext([this, id = start.attempt, endpoint = start.endpoint](HeadMessage &head) {
         head.ticket = m_config.current()->number;
-        head.load = loadOf(endpoint);
+        head.load = static_cast<float>(m_core.load(endpoint));
         // An answer of unknown length may still be being made.
         if (head.length) {
             m_loop.post([this, id] { perform(m_core.onAnswerReady(id, m_clock.now())); });
@@ -201,7 +199,7 @@
         return;
     }
     const auto sink = found->second->sink();
-    const float load = loadOf(found->second->open().endpoint);
+    const auto load = static_cast<float>(m_core.load(found->second->open().endpoint));
     m_loop.post([sink, code = refusal.code, load] { sink->refused(code, "", load); });
     dropEnded(refusal.attempt);
 }
@@ -283,11 +281,6 @@
     }
 }
 
-float TargetSide::loadOf(const EndpointId &endpoint) const
-{
-    return static_cast<float>(m_core.load(endpoint, m_backlog()));
-}
-
 std::string TargetSide::urlOf(const EndpointId &endpoint) const
 {
     return "http://" + m_identity.targetAddress + ":" + std::to_string(m_ports.at(endpoint));
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -357,16 +357,6 @@
     EXPECT_EQ(m_core.accepted(), 1U);
 }
 
-// A target with free slots behind a link that is full of answers is as far from answering as one without.
-TEST_F(TargetCoreTest, backlogOfTheLinkIsLoad)
-{
-    EXPECT_EQ(m_core.load(EndpointId("e"), {}), 0);
-    EXPECT_DOUBLE_EQ(m_core.load(EndpointId("e"), 500ms), 0.5);
-    fill();
-    EXPECT_GT(m_core.load(EndpointId("e"), 500ms), m_core.load(EndpointId("e"), {}));
-    EXPECT_EQ(m_core.load(EndpointId("unknown"), 500ms), 0);
-}
-
 TEST_F(TargetCoreTest, transferGoesOnAfterItsEndpointWasRemoved)
 {
     m_core.onOpen(openRequest(1, 1s), {}, Start);
@@ -399,7 +389,7 @@
     ASSERT_EQ(actions.size(), 2U);
     EXPECT_TRUE(std::holds_alternative<targetaction::Fail>(actions[0]));
     EXPECT_TRUE(std::holds_alternative<targetaction::Abort>(actions[1]));
-    EXPECT_EQ(m_core.load(EndpointId("e"), {}), 0);
+    EXPECT_EQ(m_core.load(EndpointId("e")), 0);
 }
 
 TEST_F(TargetCoreTest, fenceWithdrawsAWaitingCall)
--- a/unittests/net/sendscheduletest.cpp
+++ b/unittests/net/sendscheduletest.cpp
@@ -207,17 +207,6 @@
     EXPECT_TRUE(m_ended.contains(1));
 }
 
-TEST_F(SendScheduleTest, BacklogIsWhatCanStillEndInTime)
-{
-    EXPECT_EQ(m_schedule.backlog(), Duration::zero());
-    begin(0, 1, 1'400'000, m_now + 2s);
-    begin(1, 2, 1'400'000, m_now + 100ms);
-    EXPECT_GT(m_schedule.backlog(), 900ms);
-    runFor(300ms);
-    EXPECT_LT(m_schedule.backlog(), 400ms) << "the one that ends too late is in nobody's way";
-    EXPECT_EQ(SendSchedule(ByteRate(0)).backlog(), Duration::zero());
-}
-
 TEST_F(SendScheduleTest, WithdrawnStreamsGetNoTurn)
 {
     begin(0, 1, 280'000);
