[call] bound what a host holds of answers; answers to callers count against its link

Two things went past the schedule: answers to callers, and any number of whole answers of up to 256 KB. Ruled out: the pause after a configuration (the node had none under way), memory (33.8 MB at most of 88). Change: answers to callers count against the rate, which is 0.95 of the link; 32 KB of an answer instead of 256 KB are taken while the host holds 8 MB.

--- /dev/null
+++ b/include/jasminemast/call/answerwindow.h
@@ -0,0 +1,25 @@
+// How much of one answer may wait on a host for its reader.
+#pragma once
+
+#include <cstddef>
+
+namespace jasminemast
+{
+
+/// Bounds of what waits. A target that is not read from keeps its slot, so calls behind it are refused in time.
+struct AnswerWindowLimits
+{
+    std::size_t whole = 256 << 10; ///< bytes of one answer while the host holds little; most answers fit
+    /// The same while it holds much: two frames, so that a link never waits for the target.
+    std::size_t least = 32 << 10;
+    /// What the host may hold before windows shrink: a tenth of the smallest memory that nodes run in.
+    std::size_t heldAtMost = 8 << 20;
+};
+
+/// The window of each answer on a host whose links hold \p held bytes of bodies.
+[[nodiscard]] constexpr std::size_t answerWindow(std::size_t held, const AnswerWindowLimits &limits = {})
+{
+    return held < limits.heldAtMost ? limits.whole : limits.least;
+}
+
+} // namespace jasminemast
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -184,7 +184,6 @@
 struct CallProtocol
 {
     static constexpr std::size_t DataFrameBytes = 16 << 10; ///< largest piece of body in one frame
-    static constexpr std::size_t WindowBytes = 256 << 10; ///< answer bytes that may be under way unacknowledged
 };
 
 } // namespace jasminemast
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -41,6 +41,17 @@
     /// True while a link that is up has frames to write.
     [[nodiscard]] bool hasPending() const;
 
+    /// The host sent \p bytes past the links, over its own link to the network.
+    void sentBeside(std::size_t bytes)
+    {
+        m_pacer.sentBeside(bytes);
+    }
+    /// Bytes of bodies that wait to be sent.
+    [[nodiscard]] std::size_t heldBytes() const
+    {
+        return m_pacer.held();
+    }
+
     /// Calls \p visitor for every link that is up.
     void forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const;
 
--- a/include/jasminemast/net/sendpacer.h
+++ b/include/jasminemast/net/sendpacer.h
@@ -24,7 +24,21 @@
     void withdraw(Link &link, StreamId stream);
     /// \p link is closed.
     void forget(const Link &link);
-    void sentUrgent(std::size_t bytes);
+    void sentBeside(std::size_t bytes);
+    /// Bulk frames were queued on a link, or left its queue.
+    void queued(std::size_t bytes)
+    {
+        m_held += bytes;
+    }
+    void unqueued(std::size_t bytes)
+    {
+        m_held -= bytes;
+    }
+    /// Bytes of bulk frames that wait on all links.
+    [[nodiscard]] std::size_t held() const
+    {
+        return m_held;
+    }
     /// A link can take bytes again.
     void resume();
 
@@ -33,6 +47,7 @@
 
     const Clock &m_clock;
     SendSchedule m_schedule;
+    std::size_t m_held = 0;
     Timer m_timer; ///< active while something may be let go now, or after the pause that the rate asks for
 };
 
--- a/include/jasminemast/net/sendschedule.h
+++ b/include/jasminemast/net/sendschedule.h
@@ -69,8 +69,8 @@
     [[nodiscard]] std::optional<BulkStream> next(TimePoint now, const LinkFilter &canSend);
     /// A frame of the stream was let go; \p hasMore tells whether the stream still waits.
     void sent(const BulkStream &stream, std::size_t bytes, bool hasMore);
-    /// Bytes that went past the schedule, because they are urgent.
-    void sentUrgent(std::size_t bytes);
+    /// Bytes that went past the schedule: urgent frames, and answers to callers.
+    void sentBeside(std::size_t bytes);
 
     [[nodiscard]] bool isEmpty() const
     {
--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -19,6 +19,7 @@
     std::string url; ///< of the target, without the path
     Milliseconds remaining {0};
     HeaderNames headers;
+    std::function<std::size_t()> window; ///< bytes of the answer that may wait for their reader
 };
 
 /// An attempt that was accepted. Keeps the start of a non-repeatable call's answer, so that a fence can have it again.
@@ -63,6 +64,7 @@
 
     OpenMessage m_open;
     HeaderNames m_names;
+    std::function<std::size_t()> m_window;
     ResultCode m_judgement = ResultCode::Ok; ///< why the answer is not passed on
     std::string m_requestBody;
     std::shared_ptr<AnswerSink> m_sink;
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -29,9 +29,12 @@
 {
 public:
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
+    /// Bytes of bodies that wait on the links of the host.
+    using HeldMeter = std::function<std::size_t()>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer);
+               TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
+               HeldMeter held);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
@@ -77,6 +80,7 @@
     TargetSideIdentity m_identity;
     const CallSettings &m_settings;
     Announcer m_announcer;
+    HeldMeter m_held;
     HttpClient m_http;
     HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
     TargetCore m_core;
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -152,7 +152,9 @@
     }
     m_lastUsed = m_clock.now();
     noteSending();
-    m_bulk[stream].push_back(makeFrame(type, payload));
+    std::deque<std::string> &frames = m_bulk[stream];
+    frames.push_back(makeFrame(type, payload));
+    m_pacer.queued(frames.back().size());
     if (m_pacer.isLimited()) {
         m_pacer.offer(*this, stream, rank);
     } else {
@@ -162,7 +164,9 @@
 
 void Link::dropBulk(StreamId stream)
 {
-    m_bulk.erase(stream);
+    while (hasBulk(stream)) {
+        takeBulk(stream);
+    }
     m_pacer.withdraw(*this, stream);
 }
 
@@ -191,7 +195,9 @@
     m_socket.close();
     m_urgent.clear();
     m_released.clear();
-    m_bulk.clear();
+    while (!m_bulk.empty()) {
+        takeBulk(m_bulk.begin()->first);
+    }
     m_pacer.forget(*this);
     m_loop.post([self = shared_from_this(), reason] { self->m_handlers.onDown(self, reason); });
 }
@@ -365,7 +371,7 @@
         m_urgent.pop_front();
     }
     if (m_pacer.isLimited()) {
-        m_pacer.sentUrgent(m_batch.size());
+        m_pacer.sentBeside(m_batch.size());
         m_batch += std::exchange(m_released, {});
         return;
     }
@@ -384,6 +390,7 @@
     const auto place = m_bulk.find(stream);
     assert(place != m_bulk.end() && "only a stream with frames gets a turn");
     std::string frame = std::move(place->second.front());
+    m_pacer.unqueued(frame.size());
     place->second.pop_front();
     if (place->second.empty()) {
         m_bulk.erase(place);
--- a/lib/net/sendpacer.cpp
+++ b/lib/net/sendpacer.cpp
@@ -29,9 +29,9 @@
     m_schedule.removeLink(&link);
 }
 
-void SendPacer::sentUrgent(std::size_t bytes)
+void SendPacer::sentBeside(std::size_t bytes)
 {
-    m_schedule.sentUrgent(bytes);
+    m_schedule.sentBeside(bytes);
 }
 
 void SendPacer::resume()
--- a/lib/net/sendschedule.cpp
+++ b/lib/net/sendschedule.cpp
@@ -10,15 +10,16 @@
 namespace
 {
 
-/// Share of the link's rate for frames. The rest is for packet headers and for what goes past the links between nodes:
-/// answers to callers and calls to the registry.
-constexpr double RateShare = 0.98;
+/// Share of the link's rate that is used. The rest is for the headers of packets, 40 of 1,500 bytes, for
+/// acknowledgements, and for calls to the registry.
+constexpr double RateShare = 0.95;
 /// What may go at once after a pause: the loop wakes up late by a few milliseconds.
 constexpr std::chrono::duration<double> BurstTime {0.02};
 /// The same at the least: two of the largest frames with a piece of body.
 constexpr double LeastBurstBytes = 32 << 10;
-/// Urgent frames are not held back, so a flood of them would stop all bulk; it owes no more than this time.
-constexpr std::chrono::duration<double> LongestDebt {0.1};
+/// What goes past the schedule is not held back, so a flood of it stops all bulk; for no longer than this after its
+/// end.
+constexpr std::chrono::duration<double> LongestDebt {1};
 /// To set back a stream that has less to send would gain nothing for the others.
 constexpr std::uint64_t ShortRestBytes = 32 << 10;
 
@@ -133,7 +134,7 @@
     m_order.insert(placeOf(stream, found->second));
 }
 
-void SendSchedule::sentUrgent(std::size_t bytes)
+void SendSchedule::sentBeside(std::size_t bytes)
 {
     spend(bytes);
     m_allowance = std::max(m_allowance, -m_bytesPerSecond * LongestDebt.count());
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -71,9 +71,11 @@
               SocketAddress {m_settings.self.address, m_settings.linkPort}, m_settings.links, linkHandlers())
     , m_controlPlane(makeControl(ControlContext {loop, clock, m_settings, m_incarnation, m_links, m_metrics}))
     , m_control(*m_controlPlane)
-    , m_target(loop, clock, m_control, m_control,
-               TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_settings.calls,
-               m_metrics, [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); })
+    , m_target(
+          loop, clock, m_control, m_control,
+          TargetSideIdentity {m_settings.self.host, m_incarnation, m_settings.targetAddress}, m_settings.calls,
+          m_metrics, [this](const EndpointId &endpoint, bool leaving) { announce(endpoint, leaving); },
+          [this] { return m_links.heldBytes(); })
     , m_callServer(m_target, clock, m_pauseGuard, m_settings.calls.maxRequestBytes)
     , m_entry(
           EntryContext {loop, clock, m_pauseGuard, m_control, m_control, m_target, m_links, m_callClient, m_metrics},
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -44,6 +44,7 @@
     transfer.method = m_open.method;
     transfer.url = request.url + m_open.target;
     m_names = request.headers;
+    m_window = request.window;
     transfer.headers = requestHeaders(m_open, m_names, request.remaining);
     transfer.body = std::move(m_requestBody);
     transfer.timeout = request.remaining;
@@ -73,7 +74,7 @@
 void TargetAttempt::credit(std::size_t bytes)
 {
     m_unacknowledged -= std::min(bytes, m_unacknowledged);
-    if (m_unacknowledged < CallProtocol::WindowBytes && m_transfer) {
+    if (m_transfer && m_unacknowledged < m_window()) {
         m_transfer->unpause();
     }
 }
@@ -167,7 +168,7 @@
     }
     m_unacknowledged += bytes.size();
     m_sink->data(bytes);
-    if (m_unacknowledged >= CallProtocol::WindowBytes && m_transfer) {
+    if (m_transfer && m_unacknowledged >= m_window()) {
         m_transfer->pause();
     }
 }
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -1,6 +1,8 @@
 // Carries out the decisions beside a target.
 #include "jasminemast/node/targetside.h"
 
+#include "jasminemast/call/answerwindow.h"
+
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -56,7 +58,8 @@
 };
 
 TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
-                       TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer)
+                       TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
+                       HeldMeter held)
     : m_loop(loop)
     , m_clock(clock)
     , m_config(config)
@@ -64,6 +67,7 @@
     , m_identity(std::move(identity))
     , m_settings(settings)
     , m_announcer(std::move(announcer))
+    , m_held(std::move(held))
     , m_http(loop, MaxTargetConnections)
     , m_probes(loop)
     , m_core(m_identity.incarnation, TargetLimits {}, metrics)
@@ -165,7 +169,10 @@
     // The deadline is in the future, and a transfer without a timeout would never end.
     const auto remaining
         = std::max(std::chrono::duration_cast<Milliseconds>(start.deadline - m_clock.now()), Milliseconds(1));
-    attempt->start(m_http, TargetRequest {urlOf(start.endpoint), remaining, m_settings.headers},
+    const auto window = [this] {
+        return answerWindow(m_held());
+    };
+    attempt->start(m_http, TargetRequest {urlOf(start.endpoint), remaining, m_settings.headers, window},
                    [this, id = start.attempt](const HttpClientResult &result, std::shared_ptr<const KeptAnswer> kept) {
                        onDone(id, result, std::move(kept));
                    });
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -320,6 +320,29 @@
     EXPECT_GT(m_clock.now() - begun, 1'500ms);
 }
 
+// The bound on what a host holds for slow readers rests on this count.
+TEST_F(LinkTest, HeldBytesAreCountedUntilSentDroppedOrClosed)
+{
+    constexpr std::size_t PieceBytes = 16'000;
+    const auto server = makePool("h2", m_address);
+    const auto pool = makePool("h1", testAddress(), m_clock, 30'000ms, ByteRate(1'000'000));
+    const auto link = pool->connect(HostId("h2"), m_address);
+    for (int i = 0; i < 100; ++i) {
+        link->sendBulk(StreamId(1), BulkType, std::string(PieceBytes, '1'));
+        link->sendBulk(StreamId(2), BulkType, std::string(PieceBytes, '2'));
+    }
+    EXPECT_GT(pool->heldBytes(), 200 * PieceBytes);
+    link->dropBulk(StreamId(1));
+    EXPECT_GT(pool->heldBytes(), 100 * PieceBytes);
+    EXPECT_LT(pool->heldBytes(), 101 * PieceBytes);
+    ASSERT_TRUE(runTicking([&] { return pool->heldBytes() < 50 * PieceBytes; }));
+    link->close(ResultCode::LinkLost);
+    EXPECT_EQ(pool->heldBytes(), 0U);
+    const auto unpaced = makePool("h3", testAddress());
+    unpaced->connect(HostId("h2"), m_address)->sendBulk(StreamId(1), BulkType, "body");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return unpaced->heldBytes() == 0 && !m_frames.empty(); }));
+}
+
 TEST_F(LinkTest, ClosedLinkGivesItsPartOfTheRateToOthers)
 {
     constexpr ByteRate Rate {1'000'000};
