--- a/include/jasminemast/call/attempt.h
+++ b/include/jasminemast/call/attempt.h
@@ -50,7 +50,6 @@
     bool repeatable = false;
     unsigned priority = 0; ///< of the route; 0 is the most urgent
     Microseconds usefulFor = Microseconds::max(); ///< time left in which an answer has its full worth to the caller
-    Microseconds sendTime {0}; ///< that its answer is expected to need on the link of the target's host; 0: not known
 };
 
 /// Asks what became of an attempt whose link was lost, and refuses the attempt for good if it never arrived.
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -43,7 +43,6 @@
     TicketNumber ticket; ///< configuration that the asking node routed by
     EndpointId endpoint;
     bool repeatable = false;
-    RouteId route;
     std::uint32_t priority = 0; ///< of the route; 0 is the most urgent
     std::int32_t usefulMs = INT32_MAX; ///< time left in which an answer has its full worth; negative: it comes late
     std::string method;
@@ -54,8 +53,7 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable, route, priority,
-                usefulMs);
+        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable, priority, usefulMs);
         archive(method, target, headers, bodyBytes);
     }
 };
--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -154,8 +154,6 @@
     void freeSlot(const AttemptId &attempt, const Accepted &accepted, TargetActions &actions, TimePoint now);
     [[nodiscard]] std::size_t onTheirWay(const EndpointId &endpoint) const;
     TargetActions admit(const OpenRequest &request, TimePoint deadline, TimePoint now);
-    /// True when the link of the host is so full of answers that this one would reach its caller late.
-    [[nodiscard]] static bool answerComesTooLate(const OpenRequest &request, TimePoint deadline, TimePoint now);
     void apply(const AdmissionActions &decisions, TargetActions &actions, TimePoint now);
     void start(const AttemptId &attempt, TargetActions &actions, TimePoint now);
     void refuse(const AttemptId &attempt, ResultCode code, TargetActions &actions, TimePoint now);
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -52,13 +52,6 @@
         return m_pacer.held();
     }
 
-    /// How long a body of \p bytes needs behind those that wait and are still of use; zero when the host is not told
-    /// the rate of its link.
-    [[nodiscard]] Duration sendTime(std::uint64_t bytes) const
-    {
-        return m_pacer.sendTime(bytes);
-    }
-
     /// Calls \p visitor for every link that is up.
     void forEachUp(const std::function<void(const std::shared_ptr<Link> &)> &visitor) const;
 
--- a/include/jasminemast/net/sendpacer.h
+++ b/include/jasminemast/net/sendpacer.h
@@ -25,11 +25,6 @@
     /// \p link is closed.
     void forget(const Link &link);
     void sentBeside(std::size_t bytes);
-    /// How long \p bytes need behind the bodies that wait and are still of use.
-    [[nodiscard]] Duration sendTime(std::uint64_t bytes) const
-    {
-        return m_schedule.sendTime(m_schedule.usefulBytes() + bytes);
-    }
     /// Bulk frames were queued on a link, or left its queue.
     void queued(std::size_t bytes)
     {
--- a/include/jasminemast/net/sendschedule.h
+++ b/include/jasminemast/net/sendschedule.h
@@ -76,10 +76,6 @@
     {
         return m_order.empty();
     }
-    /// How many bytes the streams that wait and can still end in time have left.
-    [[nodiscard]] std::uint64_t usefulBytes() const;
-    /// How long \p bytes need at the rate; zero without a rate.
-    [[nodiscard]] Duration sendTime(std::uint64_t bytes) const;
     /// For how long the rate allows nothing more; zero when it does now.
     [[nodiscard]] Duration pause(TimePoint now);
 
--- a/include/jasminemast/node/targetside.h
+++ b/include/jasminemast/node/targetside.h
@@ -1,7 +1,6 @@
 // The side of a node that stands beside a target: carries out what TargetCore decides.
 #pragma once
 
-#include "jasminemast/call/answersizes.h"
 #include "jasminemast/call/target.h"
 #include "jasminemast/net/httpclient.h"
 #include "jasminemast/node/answersink.h"
@@ -32,12 +31,10 @@
     using Announcer = std::function<void(const EndpointId &, bool leaving)>;
     /// Bytes of bodies that wait on the links of the host.
     using HeldMeter = std::function<std::size_t()>;
-    /// How long a body of that size needs on the host's link, behind those that wait.
-    using SendTimer = std::function<Duration(std::uint64_t bytes)>;
 
     TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
                TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
-               HeldMeter held, SendTimer sendTime);
+               HeldMeter held);
 
     /// Runs one attempt whose request body is whole and that reached this host at \p arrived. The sink is called later,
     /// never from within this call.
@@ -74,9 +71,6 @@
     void scheduleTick();
     void followConfiguration();
     void probeHealth();
-    /// How long the answer of \p open is expected to need on the link, behind those that wait and those to come.
-    [[nodiscard]] Microseconds expectedSendTime(const OpenMessage &open) const;
-    void noteHead(const AttemptId &attempt, const HeadMessage &head);
     [[nodiscard]] std::string urlOf(const EndpointId &endpoint) const;
 
     Loop &m_loop;
@@ -87,9 +81,6 @@
     const CallSettings &m_settings;
     Announcer m_announcer;
     HeldMeter m_held;
-    SendTimer m_sendTime;
-    AnswerSizes m_sizes;
-    std::map<AttemptId, std::uint64_t> m_expected; ///< size of answers to come, of attempts without a head so far
     HttpClient m_http;
     HttpClient m_probes; ///< own connections, so that a slow health page holds up no call
     TargetCore m_core;
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -72,10 +72,6 @@
         refuse(attempt, ResultCode::TargetLeaving, actions, now);
         return actions;
     }
-    if (answerComesTooLate(request, deadline, now)) {
-        refuse(attempt, ResultCode::SlotsFull, actions, now);
-        return actions;
-    }
     m_accepted.emplace(attempt, Accepted {request.endpoint, now, deadline, request.repeatable, std::nullopt});
     AdmissionRank rank {request.priority, TimePoint::max()};
     if (request.usefulFor != Microseconds::max()) {
@@ -85,15 +81,6 @@
     return actions;
 }
 
-bool TargetCore::answerComesTooLate(const OpenRequest &request, TimePoint deadline, TimePoint now)
-{
-    if (request.sendTime == Microseconds::zero()) {
-        return false;
-    }
-    const bool isUseful = request.usefulFor != Microseconds::max() && request.usefulFor > Microseconds::zero();
-    return now + request.sendTime > (isUseful ? now + request.usefulFor : deadline);
-}
-
 void TargetCore::apply(const AdmissionActions &decisions, TargetActions &actions, TimePoint now)
 {
     for (const AdmissionAction &decision : decisions) {
--- a/lib/net/sendschedule.cpp
+++ b/lib/net/sendschedule.cpp
@@ -47,7 +47,8 @@
     if (rank.usefulUntil == TimePoint::max() || rest <= ShortRestBytes) {
         return false;
     }
-    return now + sendTime(rest) > rank.usefulUntil;
+    const std::chrono::duration<double> needed(static_cast<double>(rest) / m_bytesPerSecond);
+    return now + needed > rank.usefulUntil;
 }
 
 void SendSchedule::add(const BulkStream &stream, const BulkRank &rank)
@@ -144,27 +145,6 @@
     m_allowance -= static_cast<double>(bytes);
 }
 
-std::uint64_t SendSchedule::usefulBytes() const
-{
-    std::uint64_t bytes = 0;
-    for (const auto &[isLate, rest, stream] : m_order) {
-        if (isLate) {
-            break;
-        }
-        bytes += rest;
-    }
-    return bytes;
-}
-
-Duration SendSchedule::sendTime(std::uint64_t bytes) const
-{
-    if (!isLimited()) {
-        return Duration::zero();
-    }
-    const std::chrono::duration<double> seconds(static_cast<double>(bytes) / m_bytesPerSecond);
-    return std::chrono::duration_cast<Duration>(seconds);
-}
-
 Duration SendSchedule::pause(TimePoint now)
 {
     refill(now);
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -148,7 +148,6 @@
     open.ticket = m_state->number;
     open.endpoint = request.endpoint;
     open.repeatable = request.repeatable;
-    open.route = m_route->id;
     open.priority = request.priority;
     open.usefulMs = boundedMilliseconds(request.usefulFor);
     open.method = http.method;
--- a/lib/node/targetside.cpp
+++ b/lib/node/targetside.cpp
@@ -20,8 +20,6 @@
 constexpr Milliseconds ProbeInterval {1'000};
 constexpr Milliseconds ProbeTimeout {800};
 constexpr std::size_t MaxHealthPageBytes = 4096;
-/// Answers that are expected to be shorter overtake the others on the link, so that its backlog says nothing of them.
-constexpr std::uint64_t LeastPacedBytes = 32 << 10;
 
 bool saysDraining(const std::string &page)
 {
@@ -61,7 +59,7 @@
 
 TargetSide::TargetSide(Loop &loop, const Clock &clock, const ConfigView &config, const FleetView &fleet,
                        TargetSideIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
-                       HeldMeter held, SendTimer sendTime)
+                       HeldMeter held)
     : m_loop(loop)
     , m_clock(clock)
     , m_config(config)
@@ -70,7 +68,6 @@
     , m_settings(settings)
     , m_announcer(std::move(announcer))
     , m_held(std::move(held))
-    , m_sendTime(std::move(sendTime))
     , m_http(loop, MaxTargetConnections)
     , m_probes(loop)
     , m_core(m_identity.incarnation, TargetLimits {}, metrics)
@@ -92,18 +89,15 @@
     const Microseconds usefulFor
         = open.usefulMs == INT32_MAX ? Microseconds::max() : Microseconds(Milliseconds(open.usefulMs));
     const OpenRequest request {
-        open.attempt,    open.endpoint, open.peer, open.generation,       Milliseconds(open.remainingMs),
-        open.repeatable, open.priority, usefulFor, expectedSendTime(open)};
+        open.attempt,    open.endpoint, open.peer, open.generation, Milliseconds(open.remainingMs),
+        open.repeatable, open.priority, usefulFor};
     auto attempt = std::make_shared<TargetAttempt>(open, std::move(body), std::move(sink));
     // A second copy finds the first one here and does not displace it.
-    const bool isFirst = m_attempts.emplace(open.attempt, attempt).second;
+    m_attempts.emplace(open.attempt, attempt);
     if (m_attempts.size() == 1) {
         scheduleTick();
     }
     perform(m_core.onOpen(request, now - arrived, now));
-    if (isFirst && m_core.holds(open.attempt)) {
-        m_expected.try_emplace(open.attempt, m_sizes.expected(open.route));
-    }
     dropEnded(open.attempt);
     return std::make_unique<TargetHandle>(*this, open.attempt);
 }
@@ -167,7 +161,6 @@
     attempt->setHeadContext([this, id = start.attempt, endpoint = start.endpoint](HeadMessage &head) {
         head.ticket = m_config.current()->number;
         head.load = static_cast<float>(m_core.load(endpoint));
-        noteHead(id, head);
         // An answer of unknown length may still be being made.
         if (head.length) {
             m_loop.post([this, id] { perform(m_core.onAnswerReady(id, m_clock.now())); });
@@ -232,7 +225,6 @@
     }
     found->second->abort();
     m_attempts.erase(found);
-    m_expected.erase(attempt);
 }
 
 void TargetSide::beginDrain()
@@ -296,28 +288,6 @@
     }
 }
 
-Microseconds TargetSide::expectedSendTime(const OpenMessage &open) const
-{
-    const std::uint64_t bytes = m_sizes.expected(open.route);
-    if (bytes < LeastPacedBytes) {
-        return Microseconds::zero();
-    }
-    std::uint64_t ahead = 0;
-    for (const auto &[attempt, size] : m_expected) {
-        ahead += size;
-    }
-    return std::chrono::duration_cast<Microseconds>(m_sendTime(ahead + bytes));
-}
-
-void TargetSide::noteHead(const AttemptId &attempt, const HeadMessage &head)
-{
-    m_expected.erase(attempt);
-    const auto found = m_attempts.find(attempt);
-    if (head.length && found != m_attempts.end()) {
-        m_sizes.observe(found->second->open().route, *head.length);
-    }
-}
-
 std::string TargetSide::urlOf(const EndpointId &endpoint) const
 {
     return "http://" + m_identity.targetAddress + ":" + std::to_string(m_ports.at(endpoint));
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -1,6 +1,5 @@
 // Retry budget, admission, choice, draining and the pause guard on a test clock.
 #include "jasminemast/call/admission.h"
-#include "jasminemast/call/answersizes.h"
 #include "jasminemast/call/choice.h"
 #include "jasminemast/call/drain.h"
 #include "jasminemast/call/pauseguard.h"
@@ -342,24 +341,6 @@
                          testing::Values(DrainReason::Signal, DrainReason::HostList, DrainReason::HealthPage,
                                          DrainReason::Ticket));
 
-TEST(AnswerSizesTest, followsTheAnswersOfEachRoute)
-{
-    AnswerSizes sizes;
-    EXPECT_EQ(sizes.expected(RouteId("downloads")), 0U);
-    sizes.observe(RouteId("downloads"), 280'000);
-    sizes.observe(RouteId("short"), 1'500);
-    EXPECT_EQ(sizes.expected(RouteId("downloads")), 280'000U);
-    EXPECT_EQ(sizes.expected(RouteId("short")), 1'500U);
-    for (int i = 0; i < 100; ++i) {
-        sizes.observe(RouteId("downloads"), 1'000);
-    }
-    EXPECT_LT(sizes.expected(RouteId("downloads")), 2'000U);
-    for (int i = 0; i < 10'000; ++i) {
-        sizes.observe(RouteId(std::to_string(i)), 1);
-    }
-    EXPECT_EQ(sizes.expected(RouteId("9999")), 1U);
-}
-
 // Behind a narrow link an answer may take a second to leave; its slot was kept from the calls behind it for as long.
 TEST_F(TargetCoreTest, answerOnItsWayHoldsNoSlot)
 {
@@ -376,28 +357,6 @@
     EXPECT_EQ(m_core.accepted(), 1U);
 }
 
-// The caller learns at once what it would otherwise learn at its deadline, and may ask elsewhere: the target saw
-// nothing.
-TEST_F(TargetCoreTest, answerThatWouldComeLateIsRefusedAtOnce)
-{
-    m_core.setEndpoints({{EndpointId("e"), 8}}, Start);
-    OpenRequest request = openRequest(1, 4s);
-    request.usefulFor = 1'200ms;
-    request.sendTime = 1'300ms;
-    EXPECT_TRUE(refusesWith(m_core.onOpen(request, {}, Start), ResultCode::SlotsFull));
-    request = openRequest(2, 4s);
-    request.usefulFor = 1'200ms;
-    request.sendTime = 1'100ms;
-    EXPECT_FALSE(refusesWith(m_core.onOpen(request, {}, Start), ResultCode::SlotsFull));
-    request = openRequest(3, 4s);
-    request.usefulFor = -10ms;
-    request.sendTime = 1'300ms;
-    EXPECT_FALSE(refusesWith(m_core.onOpen(request, {}, Start), ResultCode::SlotsFull)) << "late, but not too late";
-    request = openRequest(4, 1s);
-    request.sendTime = 1'300ms;
-    EXPECT_TRUE(refusesWith(m_core.onOpen(request, {}, Start), ResultCode::SlotsFull));
-}
-
 TEST_F(TargetCoreTest, transferGoesOnAfterItsEndpointWasRemoved)
 {
     m_core.onOpen(openRequest(1, 1s), {}, Start);
--- a/unittests/net/sendscheduletest.cpp
+++ b/unittests/net/sendscheduletest.cpp
@@ -207,18 +207,6 @@
     EXPECT_TRUE(m_ended.contains(1));
 }
 
-TEST_F(SendScheduleTest, UsefulBytesAreThoseThatCanStillEndInTime)
-{
-    EXPECT_EQ(m_schedule.usefulBytes(), 0U);
-    begin(0, 1, 1'400'000, m_now + 2s);
-    begin(1, 2, 1'400'000, m_now + 100ms);
-    EXPECT_EQ(m_schedule.usefulBytes(), 2'800'000U);
-    runFor(300ms);
-    EXPECT_LT(m_schedule.usefulBytes(), 1'000'000U) << "the one that ends too late is in nobody's way";
-    EXPECT_GT(m_schedule.sendTime(2'800'000), 1s);
-    EXPECT_EQ(SendSchedule(ByteRate(0)).sendTime(2'800'000), Duration::zero());
-}
-
 TEST_F(SendScheduleTest, WithdrawnStreamsGetNoTurn)
 {
     begin(0, 1, 280'000);
