[call] end calls at once whose host nobody knows any more; dial a host once for all of them

A backtrace of large allocations showed Loop's queue of posted work, filled by EntrySide::connect. Calls that must run at most once waited to ask what became of them at a host whose entry had been removed: each asked for a link, connect() found no address and reported the host unreachable, and each report asked for a link for each call. Change: one Connect for all calls of a host; a host that nobody knows counts as gone, so that its calls end as unknown at once instead of at their deadline. That EntrySide reports such a host as gone has no test of its own.

--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -101,8 +101,10 @@
 
     EntryActions onLinkUp(const HostId &host, Incarnation peer, TimePoint now);
     EntryActions onLinkDown(const HostId &host, TimePoint now);
-    /// Dialling failed. \p refused: the host answered that no process listens, so what ran there is gone.
-    EntryActions onUnreachable(const HostId &host, bool refused, TimePoint now);
+    /// Dialling failed. \p isGone: no process listens there, or nobody knows where the host is, so that what became of
+    /// an attempt there cannot be asked any more. Otherwise one Connect follows when an attempt waits to be asked
+    /// about.
+    EntryActions onUnreachable(const HostId &host, bool isGone, TimePoint now);
 
     /// The link to \p host shows no sign of life although one is due, or shows one again.
     void onSilence(const HostId &host, bool silent);
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -265,9 +265,10 @@
     return actions;
 }
 
-EntryActions EntryCore::onUnreachable(const HostId &host, bool refused, TimePoint now)
+EntryActions EntryCore::onUnreachable(const HostId &host, bool isGone, TimePoint now)
 {
     EntryActions actions;
+    bool isAwaited = false;
     for (const CallId &id : callsAt(host)) {
         const auto found = m_calls.find(id);
         if (found == m_calls.end() || !found->second.attempt.open || found->second.attempt.host != host) {
@@ -277,12 +278,15 @@
         const std::uint32_t number = call.machine.attempt();
         if (!call.attempt.sent) {
             drive(id, callevent::NotSent {number}, AttemptEvidence::Failure, actions, now);
-        } else if (call.attempt.fenceWaits && refused) {
+        } else if (call.attempt.fenceWaits && isGone) {
             drive(id, callevent::PeerDead {number}, AttemptEvidence::Failure, actions, now);
         } else if (call.attempt.fenceWaits) {
-            actions.emplace_back(entryaction::Connect {host});
+            isAwaited = true;
         }
     }
+    if (isAwaited) {
+        actions.emplace_back(entryaction::Connect {host});
+    }
     return actions;
 }
 
--- a/lib/node/entryside.cpp
+++ b/lib/node/entryside.cpp
@@ -256,7 +256,8 @@
 {
     const HostView *view = m_context.fleet.findHost(host);
     if (view == nullptr) {
-        m_context.loop.post([this, host] { perform(m_core.onUnreachable(host, false, m_context.clock.now())); });
+        // Nobody knows where to ask what became of an attempt there.
+        m_context.loop.post([this, host] { perform(m_core.onUnreachable(host, true, m_context.clock.now())); });
         return;
     }
     const TimePoint now = m_context.clock.now();
