--- a/include/jasminemast/call/answerwindow.h
+++ b/include/jasminemast/call/answerwindow.h
@@ -6,7 +6,7 @@
 namespace jasminemast
 {
 
-/// Bounds of what waits. A target that is not read from keeps its slot, so calls behind it are refused in time.
+/// Bounds of what waits. Beyond them the target is not read from and is busy with its answer for longer.
 struct AnswerWindowLimits
 {
     std::size_t whole = 256 << 10; ///< bytes of one answer while the host holds little; most answers fit
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -41,7 +41,7 @@
     /// True while a link that is up has frames to write.
     [[nodiscard]] bool hasPending() const;
 
-    /// The host sent \p bytes past the links, over its own link to the network.
+    /// The host sent \p bytes that went over none of these links, but over its own link to the network.
     void sentBeside(std::size_t bytes)
     {
         m_pacer.sentBeside(bytes);
--- a/include/jasminemast/net/sendpacer.h
+++ b/include/jasminemast/net/sendpacer.h
@@ -24,6 +24,7 @@
     void withdraw(Link &link, StreamId stream);
     /// \p link is closed.
     void forget(const Link &link);
+    /// As SendSchedule::sentBeside().
     void sentBeside(std::size_t bytes);
     /// Bulk frames were queued on a link, or left its queue.
     void queued(std::size_t bytes)
--- a/include/jasminemast/net/sendschedule.h
+++ b/include/jasminemast/net/sendschedule.h
@@ -41,14 +41,21 @@
     std::optional<std::uint64_t> remaining;
     std::uint64_t sent = 0; ///< bytes of the stream that went before
     TimePoint usefulUntil = TimePoint::max(); ///< what arrives later has lost most of its worth to the caller
+
+    /// \p bytes of the stream have gone.
+    void advance(std::uint64_t bytes);
+    /// What the stream is taken to have left; of unknown length, as much as went before.
+    [[nodiscard]] std::uint64_t expectedRest() const
+    {
+        return remaining.value_or(sent);
+    }
 };
 
 /// Orders the waiting streams of all links: the one that has least to send first, and those that end too late anyway
-/// after all others. A stream of unknown length is taken to have as much before it as behind it. Streams that share the
-/// rate by turns would all end when the last one does.
+/// after all others, unless they are short. Streams that share the rate by turns would all end when the last one does.
 ///
-/// Invariants: over any time, no more is let go than the rate allows and one burst; while some stream's link can take
-/// bytes and the rate allows it, one is let go.
+/// Invariants: over any time, no more is let go than the rate allows, one burst and one frame; while some stream's link
+/// can take bytes and the rate allows it, one is let go.
 class SendSchedule
 {
 public:
--- a/lib/net/sendschedule.cpp
+++ b/lib/net/sendschedule.cpp
@@ -23,13 +23,16 @@
 /// To set back a stream that has less to send would gain nothing for the others.
 constexpr std::uint64_t ShortRestBytes = 32 << 10;
 
-std::uint64_t expectedRest(const BulkRank &rank)
+} // namespace
+
+void BulkRank::advance(std::uint64_t bytes)
 {
-    return rank.remaining.value_or(rank.sent);
+    sent += bytes;
+    if (remaining) {
+        *remaining -= std::min(*remaining, bytes);
+    }
 }
 
-} // namespace
-
 SendSchedule::SendSchedule(ByteRate rate)
     : m_bytesPerSecond(rate.value() * RateShare)
     , m_allowance(LeastBurstBytes)
@@ -38,12 +41,12 @@
 
 SendSchedule::Place SendSchedule::placeOf(const BulkStream &stream, const Waiting &waiting)
 {
-    return {waiting.isLate, expectedRest(waiting.rank), stream};
+    return {waiting.isLate, waiting.rank.expectedRest(), stream};
 }
 
 bool SendSchedule::endsTooLate(const BulkRank &rank, TimePoint now) const
 {
-    const std::uint64_t rest = expectedRest(rank);
+    const std::uint64_t rest = rank.expectedRest();
     if (rank.usefulUntil == TimePoint::max() || rest <= ShortRestBytes) {
         return false;
     }
@@ -126,11 +129,7 @@
     const auto found = m_waiting.find(stream);
     assert(found != m_waiting.end() && "only a waiting stream is let go");
     m_order.erase(placeOf(stream, found->second));
-    BulkRank &rank = found->second.rank;
-    rank.sent += bytes;
-    if (rank.remaining) {
-        *rank.remaining -= std::min<std::uint64_t>(*rank.remaining, bytes);
-    }
+    found->second.rank.advance(bytes);
     m_order.insert(placeOf(stream, found->second));
 }
 
--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -62,12 +62,13 @@
     const Key key = addStream(link, open.stream, std::move(sink));
     link->send(static_cast<FrameType>(CallFrame::Open), encodeMessage(open));
     std::string_view rest(body);
+    BulkRank rank {body.size()};
     while (!rest.empty()) {
         const std::string_view piece = rest.substr(0, CallProtocol::DataFrameBytes);
-        const BulkRank rank {rest.size(), body.size() - rest.size()};
         rest.remove_prefix(piece.size());
         link->sendBulk(StreamId(open.stream), static_cast<FrameType>(CallFrame::RequestBody),
                        encodeDataFrame(open.stream, piece), rank);
+        rank.advance(piece.size());
     }
     return std::make_unique<RemoteHandle>(*this, key);
 }
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -54,10 +54,7 @@
             bytes.remove_prefix(piece.size());
             m_link->sendBulk(StreamId(m_stream), static_cast<FrameType>(CallFrame::Data),
                              encodeDataFrame(m_stream, piece), m_rank);
-            m_rank.sent += piece.size();
-            if (m_rank.remaining) {
-                *m_rank.remaining -= std::min<std::uint64_t>(*m_rank.remaining, piece.size());
-            }
+            m_rank.advance(piece.size());
         }
     }
 
--- a/unittests/net/sendscheduletest.cpp
+++ b/unittests/net/sendscheduletest.cpp
@@ -126,8 +126,8 @@
     EXPECT_LT(m_ended.at(100) - begun, 20ms);
 }
 
-// A tenth more downloads than the link carries, for half a minute, each of use to its caller for 1.2 s: in order of
-// arrival all but the first would come too late.
+// A tenth more downloads than the link carries, for half a minute, each of use to its caller for 1.2 s. In order of
+// arrival the queue would be longer than that after a dozen seconds, and all that come later would be late.
 TEST_F(SendScheduleTest, OverloadedLinkServesMostInTime)
 {
     constexpr Duration Useful = 1'200ms;
@@ -178,8 +178,8 @@
     EXPECT_GT(static_cast<double>(m_sent), 0.94 * 10 * Rate.value());
 }
 
-// What overtakes the bulk takes its part of the rate, but never stops it for good.
-TEST_F(SendScheduleTest, UrgentBytesCountButDoNotStopBulk)
+// What goes past the schedule takes its part of the rate, but never stops the bulk for good.
+TEST_F(SendScheduleTest, BytesBesideCountButDoNotStopBulk)
 {
     begin(0, 1, 100'000'000);
     runFor(1s);
