[net] Read past late copies of earlier responses of a target

Each path that ends an attempt under way at the target's node now says so (E4002 with the request's id and the code; E4003 at the entry node).

Change: TargetClient, a client for targets on Boost.Beast's parser, identifies responses by the request id, skips those of others (8 and 1 MB at most) and reads on. It sends again only what cannot have arrived; libcurl repeated any repeatable request on a connection that ended. Heads, trailers, chunk headers and interim responses without end are bounded (64 KB, 8).

--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -45,6 +45,7 @@
 struct Abort
 {
     AttemptId attempt;
+    ResultCode reason;
 };
 /// Reply that the attempt was not run.
 struct Refuse
@@ -90,8 +91,8 @@
     /// \p inputAge is how long the message may have waited unread (see PauseDetector).
     TargetActions onOpen(const OpenRequest &request, Duration inputAge, TimePoint now);
     TargetActions onFence(const FenceRequest &request, TimePoint now);
-    /// The caller has disconnected or the deadline of the sender has passed.
-    TargetActions onCancel(const AttemptId &attempt, TimePoint now);
+    /// The caller has disconnected, the deadline of the sender has passed, or its link was lost.
+    TargetActions onCancel(const AttemptId &attempt, ResultCode reason, TimePoint now);
 
     /// The target has finished its response, which is being transferred: frees its slot, unless as many transfers as
     /// there are slots already continue without one.
--- a/include/jasminemast/net/httpmessage.h
+++ b/include/jasminemast/net/httpmessage.h
@@ -42,6 +42,9 @@
 /// Returns the headers that may be forwarded to the next hop.
 HttpHeaders endToEndHeaders(const HttpHeaders &headers);
 
+/// False if the method, target or headers could be parsed as more than one request (request smuggling).
+bool isWellFormedRequest(std::string_view method, std::string_view target, const HttpHeaders &headers);
+
 /// A complete request.
 struct HttpRequest
 {
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -62,6 +62,8 @@
     {
         return m_exchange->request().body;
     }
+    /// The caller's id of the request; empty without one.
+    [[nodiscard]] std::string requestId() const;
     [[nodiscard]] TimePoint arrivedAt() const
     {
         return m_times.arrivedAt;
--- a/include/jasminemast/node/responsesink.h
+++ b/include/jasminemast/node/responsesink.h
@@ -31,8 +31,8 @@
 {
 public:
     virtual ~AttemptHandle() = default;
-    /// Cancels the attempt; the sink is not called again.
-    virtual void cancel() = 0;
+    /// Cancels the attempt; the sink is not called again. \p reason is logged if the target runs the request.
+    virtual void cancel(ResultCode reason) = 0;
     /// Flow control: \p bytes of the response body were consumed.
     virtual void credit(std::size_t bytes) = 0;
 };
--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -1,7 +1,7 @@
 // One attempt on the target's node: sends the request to the target and streams the response to the current requester.
 #pragma once
 
-#include "jasminemast/net/httpclient.h"
+#include "jasminemast/net/targetclient.h"
 #include "jasminemast/node/responsesink.h"
 #include "jasminemast/settings/nodesettings.h"
 
@@ -16,10 +16,12 @@
 /// Parameters of the HTTP request to the target.
 struct TargetRequest
 {
-    std::string url; ///< of the target, without the path
+    SocketAddress address; ///< of the target
+    TimePoint startedAt;
     Milliseconds remaining {0};
     HeaderNames headers;
     std::function<std::size_t()> window; ///< limit of response bytes that the requester has not consumed
+    std::function<void()> onForeignResponse; ///< a response to another request was skipped; may be empty
 };
 
 /// An accepted attempt. Caches the response body of a non-repeatable call up to a limit, so that a fence on a new link
@@ -32,7 +34,7 @@
 
     TargetAttempt(OpenMessage open, std::string body, std::shared_ptr<ResponseSink> sink);
 
-    void start(HttpClient &http, const TargetRequest &request, DoneHandler onDone);
+    void start(TargetClient &http, const TargetRequest &request, DoneHandler onDone);
     /// Closes the connection to the target; the done handler is not called.
     void abort();
     void credit(std::size_t bytes);
@@ -40,6 +42,15 @@
     /// Sends the response to \p sink from its first byte on; false if bytes already forwarded are no longer cached.
     bool switchSink(std::shared_ptr<ResponseSink> sink);
 
+    /// True while the target may be working on the request.
+    [[nodiscard]] bool isRunning() const
+    {
+        return m_transfer != nullptr;
+    }
+    [[nodiscard]] TimePoint startedAt() const
+    {
+        return m_startedAt;
+    }
     [[nodiscard]] const OpenMessage &open() const
     {
         return m_open;
@@ -57,7 +68,6 @@
 private:
     void onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
     [[nodiscard]] ResultCode checkResponse(unsigned status, const HttpHeaders &headers) const;
-    void abortForeignResponse();
     void onData(std::string_view bytes);
     void onDone(const HttpClientResult &result);
     void forward(std::string_view bytes);
@@ -67,9 +77,10 @@
     HeaderNames m_names;
     std::function<std::size_t()> m_window;
     ResultCode m_responseError = ResultCode::Ok; ///< why the response is not forwarded
+    TimePoint m_startedAt;
     std::string m_requestBody;
     std::shared_ptr<ResponseSink> m_sink;
-    std::shared_ptr<HttpTransfer> m_transfer;
+    std::shared_ptr<TargetTransfer> m_transfer;
     DoneHandler m_onDone;
     std::function<void(HeadMessage &)> m_headContext;
     std::optional<HeadMessage> m_head; ///< set once the response has begun
--- a/include/jasminemast/node/targetproxy.h
+++ b/include/jasminemast/node/targetproxy.h
@@ -64,7 +64,9 @@
     void start(const targetaction::Start &start);
     void onDone(const AttemptId &attempt, const HttpClientResult &result,
                 std::shared_ptr<const CachedResponse> response);
-    void cancel(const AttemptId &attempt);
+    void cancel(const AttemptId &attempt, ResultCode reason);
+    /// Logs that a request under way ended without its response.
+    void logCut(const TargetAttempt &attempt, ResultCode code, const std::string &detail) const;
     void refuse(const targetaction::Refuse &refusal);
     void replyToFence(const AttemptId &attempt, const FenceResult &result, const std::shared_ptr<ResponseSink> &sink);
     void eraseIfEnded(const AttemptId &attempt);
@@ -73,7 +75,7 @@
     void scheduleTick();
     void updateConfiguration();
     void probeHealth();
-    [[nodiscard]] std::string targetUrl(const EndpointId &endpoint) const;
+    [[nodiscard]] SocketAddress targetAddress(const EndpointId &endpoint) const;
 
     Loop &m_loop;
     const Clock &m_clock;
@@ -83,7 +85,8 @@
     const CallSettings &m_settings;
     Announcer m_announcer;
     QueuedBytesReader m_readQueuedBytes;
-    HttpClient m_http;
+    Metrics &m_metrics;
+    TargetClient m_http;
     HttpClient m_probeHttp; ///< separate connections, so that a slow health check delays no call
     TargetCore m_core;
     StatePtr m_appliedState; ///< configuration that m_core has
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -155,7 +155,7 @@
     return {targetaction::ReplyToFence {request.attempt, m_fence.fence(request, now)}};
 }
 
-TargetActions TargetCore::onCancel(const AttemptId &attempt, TimePoint now)
+TargetActions TargetCore::onCancel(const AttemptId &attempt, ResultCode reason, TimePoint now)
 {
     if (withdraw(attempt, ResultCode::CallWithdrawn, now)) {
         return {targetaction::Refuse {attempt, ResultCode::CallWithdrawn}};
@@ -163,7 +163,7 @@
     if (!isRunning(attempt)) {
         return {};
     }
-    TargetActions actions {targetaction::Abort {attempt}};
+    TargetActions actions {targetaction::Abort {attempt, reason}};
     m_fence.markLost(attempt, now);
     release(attempt, actions, now);
     return actions;
@@ -225,7 +225,7 @@
     TargetActions actions {targetaction::Fail {attempt, code}};
     if (abort) {
         // Must precede the start of the next attempt in this slot.
-        actions.emplace_back(targetaction::Abort {attempt});
+        actions.emplace_back(targetaction::Abort {attempt, code});
     }
     m_fence.markLost(attempt, now);
     release(attempt, actions, now);
--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -5,7 +5,6 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
-#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -44,16 +43,6 @@
     return std::strtoull(text->c_str(), nullptr, 10);
 }
 
-/// False if the method, URL or headers could be parsed as more than one request (request smuggling).
-bool isWellFormed(const HttpClientRequest &request)
-{
-    const auto isWellFormedHeader = [](const HttpHeader &header) {
-        return isToken(header.name) && isFieldValue(header.value);
-    };
-    return isToken(request.method) && isFieldValue(request.url)
-        && std::all_of(request.headers.begin(), request.headers.end(), isWellFormedHeader);
-}
-
 } // namespace
 
 /// Watches one of libcurl's sockets.
@@ -322,7 +311,7 @@
 
 std::shared_ptr<HttpTransfer> HttpClient::start(HttpClientRequest request, HttpTransfer::Handlers handlers)
 {
-    const bool valid = isWellFormed(request);
+    const bool valid = isWellFormedRequest(request.method, request.url, request.headers);
     std::shared_ptr<HttpTransfer> transfer(new HttpTransfer(*this, std::move(request), std::move(handlers)));
     if (!valid) {
         transfer->failInvalidRequest();
--- a/lib/net/httpmessage.cpp
+++ b/lib/net/httpmessage.cpp
@@ -61,6 +61,14 @@
     return nullptr;
 }
 
+bool isWellFormedRequest(std::string_view method, std::string_view target, const HttpHeaders &headers)
+{
+    const auto isWellFormedHeader = [](const HttpHeader &header) {
+        return isToken(header.name) && isFieldValue(header.value);
+    };
+    return isToken(method) && isFieldValue(target) && std::all_of(headers.begin(), headers.end(), isWellFormedHeader);
+}
+
 bool isHopByHop(std::string_view name)
 {
     return std::any_of(HopByHopNames.begin(), HopByHopNames.end(),
--- /dev/null
+++ b/lib/net/targetconnection.h
@@ -0,0 +1,70 @@
+// One connection of TargetClient.
+#pragma once
+
+#include "jasminemast/net/responseparser.h"
+#include "jasminemast/net/targetclient.h"
+
+#include <memory>
+#include <string>
+
+namespace jasminemast
+{
+
+/// Sends one request at a time and reads its response.
+class TargetConnection : public std::enable_shared_from_this<TargetConnection>
+{
+public:
+    TargetConnection(TargetClient &client, SocketAddress address);
+
+    /// Sends the request of \p transfer; connects first if needed. Reports a failure later.
+    void run(const std::shared_ptr<TargetTransfer> &transfer);
+    /// The transfer has ended. Without a complete response the connection is closed.
+    void release(bool isComplete);
+    /// Continues reading after a pause.
+    void resume();
+
+    [[nodiscard]] const SocketAddress &address() const
+    {
+        return m_address;
+    }
+    /// True if an idle connection is still open and not too old for another request.
+    [[nodiscard]] bool canBeUsed(TimePoint now, Milliseconds maxIdleTime) const;
+
+private:
+    void connect();
+    void onIo(int events);
+    void finishConnect();
+    void flush();
+    void readAvailable();
+    void processInput();
+    void handleHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
+    void handleBody(std::string_view bytes);
+    void finishResponse();
+    void fail(ResultCode code, std::string detail);
+    /// True if the target closed the connection before the request arrived.
+    [[nodiscard]] bool wasStale() const;
+    void watch();
+    void close();
+
+    TargetClient &m_client;
+    SocketAddress m_address;
+    Descriptor m_socket;
+    IoWatcher m_watcher;
+    Timer m_connectTimer;
+    ResponseParser m_parser;
+    std::shared_ptr<TargetTransfer> m_transfer; ///< null while the connection is idle
+    std::string m_head; ///< of the request
+    std::size_t m_written = 0; ///< bytes of head and body that the kernel has accepted
+    std::string m_input; ///< received bytes that have not been parsed
+    bool m_connecting = false;
+    bool m_wasUsed = false; ///< has carried a complete exchange
+    bool m_receivedSome = false; ///< of the response
+    bool m_isForeign = false; ///< the current response belongs to another request
+    unsigned m_foreignResponses = 0;
+    std::size_t m_foreignBytes = 0;
+    TimePoint m_sentAt;
+    TimePoint m_idleSince;
+    Milliseconds m_keepAlive; ///< how long the target keeps the idle connection
+};
+
+} // namespace jasminemast
--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -28,7 +28,7 @@
     {
     }
 
-    void cancel() override
+    void cancel(ResultCode /*reason*/) override
     {
         m_client.cancel(m_key);
     }
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -135,7 +135,7 @@
         return;
     }
     if (found->second->attempt) {
-        found->second->attempt->cancel();
+        found->second->attempt->cancel(ResultCode::CallWithdrawn);
     }
     link->dropBulk(StreamId(message.stream));
     m_streams.erase(found);
@@ -214,7 +214,7 @@
     while (position != m_streams.end() && position->first.first == link.get()) {
         Stream &stream = *position->second;
         if (stream.attempt && stream.open.repeatable) {
-            stream.attempt->cancel();
+            stream.attempt->cancel(ResultCode::LinkLost);
         }
         position = m_streams.erase(position);
     }
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -169,6 +169,13 @@
     return open;
 }
 
+std::string EntryCall::requestId() const
+{
+    const std::string &name = m_headers.names.requestId;
+    const std::string *id = name.empty() ? nullptr : findHeader(m_exchange->request().headers, name);
+    return id == nullptr ? std::string() : *id;
+}
+
 void EntryCall::setHandle(std::unique_ptr<AttemptHandle> handle)
 {
     m_handle = std::move(handle);
@@ -177,7 +184,7 @@
 void EntryCall::cancelAttempt()
 {
     if (m_handle) {
-        m_handle->cancel();
+        m_handle->cancel(ResultCode::CallWithdrawn);
     }
 }
 
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -1,6 +1,8 @@
 // Performs the actions of EntryCore.
 #include "jasminemast/node/entryproxy.h"
 
+#include "jasminemast/support/events.h"
+
 #include <algorithm>
 #include <type_traits>
 
@@ -335,6 +337,13 @@
     if (end.outcome == Outcome::Answered) {
         m_context.metrics.observe(Summary::CallDuration, now - call->arrivedAt());
     }
+    if (end.outcome == Outcome::Unknown && end.code != ResultCode::CallerGone) {
+        const auto since = std::chrono::duration_cast<Milliseconds>(now - call->arrivedAt());
+        logEvent(Event::CallUnknown,
+                 {{"request", call->requestId()},
+                  {"code", std::to_string(number(end.code))},
+                  {"ms", std::to_string(since.count())}});
+    }
     call->finish(end.outcome, end.code, failureHeaders(call->softDeadline()));
 }
 
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -37,12 +37,14 @@
 {
 }
 
-void TargetAttempt::start(HttpClient &http, const TargetRequest &request, DoneHandler onDone)
+void TargetAttempt::start(TargetClient &http, const TargetRequest &request, DoneHandler onDone)
 {
     m_onDone = std::move(onDone);
-    HttpClientRequest transfer;
+    TargetClientRequest transfer;
+    transfer.address = request.address;
     transfer.method = m_open.method;
-    transfer.url = request.url + m_open.target;
+    transfer.target = m_open.target;
+    m_startedAt = request.startedAt;
     m_names = request.headers;
     m_window = request.window;
     transfer.headers = requestHeaders(m_open, m_names, request.remaining);
@@ -50,7 +52,9 @@
     transfer.timeout = request.remaining;
     transfer.connectTimeout = std::min(transfer.connectTimeout, request.remaining);
     transfer.atMostOnce = !m_open.repeatable;
-    HttpTransfer::Handlers handlers;
+    transfer.requestIdHeader = m_names.requestId;
+    TargetTransfer::Handlers handlers;
+    handlers.onForeignResponse = request.onForeignResponse;
     const auto self = shared_from_this();
     handlers.onHead = [self](unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length) {
         self->onHead(status, headers, length);
@@ -101,9 +105,6 @@
 void TargetAttempt::onHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
 {
     m_responseError = checkResponse(status, headers);
-    if (m_responseError == ResultCode::AnswerForeign) {
-        abortForeignResponse();
-    }
     if (m_responseError != ResultCode::Ok) {
         return;
     }
@@ -120,14 +121,6 @@
 
 ResultCode TargetAttempt::checkResponse(unsigned status, const HttpHeaders &headers) const
 {
-    const std::string *responseId = m_names.requestId.empty() ? nullptr : findHeader(headers, m_names.requestId);
-    if (responseId != nullptr) {
-        for (const auto &[name, value] : m_open.headers) {
-            if (equalHeaderNames(name, m_names.requestId) && value != *responseId) {
-                return ResultCode::AnswerForeign;
-            }
-        }
-    }
     if (!m_names.expectedEndpoint.empty() && status == StatusMisdirected) {
         return ResultCode::TargetReplaced;
     }
@@ -137,16 +130,6 @@
     return ResultCode::Ok;
 }
 
-void TargetAttempt::abortForeignResponse()
-{
-    // The response belongs to another request, and so may all further bytes on this connection.
-    if (const auto transfer = std::exchange(m_transfer, nullptr)) {
-        transfer->cancel();
-    }
-    const HttpClientResult result {ResultCode::AnswerForeign, "", true};
-    m_onDone(result, nullptr);
-}
-
 void TargetAttempt::onData(std::string_view bytes)
 {
     if (m_responseError != ResultCode::Ok) {
--- a/lib/node/targetproxy.cpp
+++ b/lib/node/targetproxy.cpp
@@ -2,6 +2,7 @@
 #include "jasminemast/node/targetproxy.h"
 
 #include "jasminemast/call/responsewindow.h"
+#include "jasminemast/support/events.h"
 
 #include <nlohmann/json.hpp>
 
@@ -14,7 +15,6 @@
 namespace
 {
 
-constexpr long MaxTargetConnections = 100;
 constexpr Milliseconds TickInterval {10};
 constexpr Milliseconds IdleTickInterval {200}; ///< while there are no attempts with deadlines
 constexpr Milliseconds ProbeInterval {1'000};
@@ -39,9 +39,9 @@
     {
     }
 
-    void cancel() override
+    void cancel(ResultCode reason) override
     {
-        m_proxy.cancel(m_attempt);
+        m_proxy.cancel(m_attempt, reason);
     }
 
     void credit(std::size_t bytes) override
@@ -68,7 +68,8 @@
     , m_settings(settings)
     , m_announcer(std::move(announcer))
     , m_readQueuedBytes(std::move(readQueuedBytes))
-    , m_http(loop, MaxTargetConnections)
+    , m_metrics(metrics)
+    , m_http(loop, clock)
     , m_probeHttp(loop)
     , m_core(m_identity.incarnation, TargetLimits {}, metrics)
     , m_tickTimer(loop, [this] { tick(); })
@@ -148,6 +149,10 @@
                     m_loop.post([sink, code = concrete.code] { sink->end(code, ""); });
                     eraseIfEnded(concrete.attempt);
                 } else if constexpr (std::is_same_v<Action, targetaction::Abort>) {
+                    const auto found = m_attempts.find(concrete.attempt);
+                    if (found != m_attempts.end() && found->second->isRunning()) {
+                        logCut(*found->second, concrete.reason, "");
+                    }
                     eraseIfEnded(concrete.attempt);
                 }
             },
@@ -173,7 +178,11 @@
         return responseWindow(m_readQueuedBytes());
     };
     attempt->start(
-        m_http, TargetRequest {targetUrl(start.endpoint), remaining, m_settings.headers, window},
+        m_http,
+        TargetRequest {targetAddress(start.endpoint), m_clock.now(), remaining, m_settings.headers, window,
+                       [this] {
+                           m_metrics.count(Counter::InputRefused, ResultCode::AnswerForeign);
+                       }},
         [this, id = start.attempt](const HttpClientResult &result, std::shared_ptr<const CachedResponse> response) {
             onDone(id, result, std::move(response));
         });
@@ -193,6 +202,7 @@
     } else if (isNotRun(result.code)) {
         perform(m_core.onNotRun(attempt, result.code, now));
     } else if (result.requestSent) {
+        logCut(*m_attempts.at(attempt), result.code, result.detail);
         perform(m_core.onResponseLost(attempt, result.code, now));
     } else {
         perform(m_core.onNotRun(attempt, ResultCode::TargetUnreachable, now));
@@ -200,6 +210,21 @@
     eraseIfEnded(attempt);
 }
 
+void TargetProxy::logCut(const TargetAttempt &attempt, ResultCode code, const std::string &detail) const
+{
+    const OpenMessage &open = attempt.open();
+    const auto since = std::chrono::duration_cast<Milliseconds>(m_clock.now() - attempt.startedAt());
+    const auto id = std::find_if(open.headers.begin(), open.headers.end(), [this](const auto &header) {
+        return equalHeaderNames(header.first, m_settings.headers.requestId);
+    });
+    logEvent(Event::AttemptCut,
+             {{"request", id == open.headers.end() ? std::string() : id->second},
+              {"endpoint", open.endpoint.value()},
+              {"code", std::to_string(number(code))},
+              {"detail", detail},
+              {"ms", std::to_string(since.count())}});
+}
+
 void TargetProxy::refuse(const targetaction::Refuse &refusal)
 {
     const auto found = m_attempts.find(refusal.attempt);
@@ -212,9 +237,9 @@
     eraseIfEnded(refusal.attempt);
 }
 
-void TargetProxy::cancel(const AttemptId &attempt)
+void TargetProxy::cancel(const AttemptId &attempt, ResultCode reason)
 {
-    perform(m_core.onCancel(attempt, m_clock.now()));
+    perform(m_core.onCancel(attempt, reason, m_clock.now()));
     eraseIfEnded(attempt);
 }
 
@@ -274,7 +299,7 @@
             continue;
         }
         HttpClientRequest request;
-        request.url = targetUrl(id) + "/health";
+        request.url = "http://" + targetAddress(id).toString() + "/health";
         request.timeout = ProbeTimeout;
         request.maxBodyBytes = MaxHealthPageBytes;
         m_probeHttp.fetch(std::move(request),
@@ -290,9 +315,9 @@
     }
 }
 
-std::string TargetProxy::targetUrl(const EndpointId &endpoint) const
+SocketAddress TargetProxy::targetAddress(const EndpointId &endpoint) const
 {
-    return "http://" + m_identity.targetAddress + ":" + std::to_string(m_ports.at(endpoint));
+    return {m_identity.targetAddress, m_ports.at(endpoint)};
 }
 
 } // namespace jasminemast
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -410,6 +410,6 @@
 TEST_F(TargetCoreTest, CanceledQueuedAttemptIsNotRun)
 {
     fillSlotAndQueue();
-    EXPECT_TRUE(refusesWith(m_core.onCancel(attempt(2), Start), ResultCode::CallWithdrawn));
+    EXPECT_TRUE(refusesWith(m_core.onCancel(attempt(2), ResultCode::CallWithdrawn, Start), ResultCode::CallWithdrawn));
     EXPECT_TRUE(m_core.onResponseReceived(attempt(1), nullptr, Start).empty()) << "nothing is left to start";
 }
--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -221,7 +221,7 @@
         }
         apply(message.target, core.onFence(request, now));
     } else {
-        apply(message.target, core.onCancel(std::get<AttemptId>(content), now));
+        apply(message.target, core.onCancel(std::get<AttemptId>(content), ResultCode::CallWithdrawn, now));
     }
 }
 
--- a/unittests/node/targetattempttest.cpp
+++ b/unittests/node/targetattempttest.cpp
@@ -65,7 +65,7 @@
             return responseWindow(m_queuedBytes);
         };
         m_attempt->start(
-            m_http, TargetRequest {"http://" + m_address.toString(), 60'000ms, {}, window},
+            m_http, TargetRequest {m_address, TimePoint(), 60'000ms, {}, window, {}},
             [this](const HttpClientResult &, const std::shared_ptr<const CachedResponse> &) { m_done = true; });
     }
 
@@ -82,6 +82,7 @@
     }
 
     Loop m_loop;
+    SystemClock m_clock;
     SocketAddress m_address = testAddress();
     HttpServer m_server {m_loop, m_address, HttpServerLimits {},
                          [](const std::shared_ptr<HttpExchange> &exchange) {
@@ -89,14 +90,14 @@
                          },
                          [](ResultCode) {
                          }};
-    HttpClient m_http {m_loop};
+    TargetClient m_http {m_loop, m_clock};
     std::shared_ptr<CountingSink> m_sink = std::make_shared<CountingSink>();
     std::shared_ptr<TargetAttempt> m_attempt;
     std::size_t m_queuedBytes = 0;
     bool m_done = false;
 };
 
-/// libcurl delivers pieces of up to this size, so that a window is exceeded by less than one piece.
+/// The client delivers pieces of up to this size, so that a window is exceeded by less than one piece.
 constexpr std::size_t MaxPieceBytes = 64 << 10;
 
 } // namespace
