[registry] Read the registry at one node a region, pass records on over links

Cause: every node listed and watched the registry by itself. Calls grow with hosts times changes, and each configuration crossed every host's link as the whole listing.

Change: UpstreamSelector orders the hosts of a zone by rendezvous hashing into a tree of 8 children a node; the roots of a region's zones read at the root of one of them, which reads the registry. SyncServer answers a peer that names its configuration and the digest of its targets with the difference, as soon as there is one. A node reads the registry itself when its records are older than 1.9 s plus 0.1 s a rank, or when no candidate is reachable; a node that starts finds peers in a stale listing of the targets and takes all from one. A watch ends after 0.8 s, changes are collected for 0.5 s, and only changes of over 1 MB lead to a new listing, since one node a region reads them.

--- a/include/jasminemast/node/pulllinks.h
+++ b/include/jasminemast/node/pulllinks.h
@@ -18,11 +18,14 @@
     ReplyPart = 65, ///< 8 bytes id of the pull, then a piece of an encoded PullReply
     ReplyEnd = 66, ///< as ReplyPart, for the last piece
     Received = 67, ///< 8 bytes id: the requester has the complete reply
+    SyncRequest = 68, ///< SyncRequest, between nodes with a registry
+    SyncReply = 69, ///< SyncReply
 };
 
 inline bool isControlFrame(FrameType type)
 {
-    return type >= static_cast<FrameType>(ControlFrame::Pull) && type <= static_cast<FrameType>(ControlFrame::Received);
+    return type >= static_cast<FrameType>(ControlFrame::Pull)
+        && type <= static_cast<FrameType>(ControlFrame::SyncReply);
 }
 
 /// The pull protocol of the control task, for all links of a node.
--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -1,9 +1,11 @@
-// Control plane for a platform with a registry: connects RegistryFollower to timers and the registry client.
+// Control plane for a platform with a registry: connects RegistryFollower to timers, the registry client and peers.
 #pragma once
 
 #include "jasminemast/node/controlplane.h"
+#include "jasminemast/node/registrypeers.h"
 #include "jasminemast/node/ticketwaiters.h"
 #include "jasminemast/registry/registryfollower.h"
+#include "jasminemast/registry/upstreamselector.h"
 
 #include <map>
 #include <memory>
@@ -12,7 +14,8 @@
 namespace jasminemast
 {
 
-/// The control plane of a node that reads the registry itself; nodes exchange no configuration.
+/// The control plane of a node whose fleet has a registry. A few nodes read it; the others read at them, and at the
+/// registry when no peer has recent records.
 class RegistryTask final : public ControlPlane
 {
 public:
@@ -46,13 +49,28 @@
     }
     [[nodiscard]] bool isReader() const override
     {
-        return true;
+        return !m_upstream;
     }
     [[nodiscard]] nlohmann::json zones(TimePoint now) const override;
 
 private:
     void startNextRequest();
+    void requestFromPeer(const HostId &host);
+    void requestFromRegistry(const RegistryAction &action);
+    /// Reads a page of targets, in which a node that has just started finds its peers.
+    void discoverPeers();
+    void onPeersDiscovered();
     void onResponse(RegistryResponse response);
+    void onPeerReply(const HostId &host, const std::optional<SyncReply> &reply);
+    void applyReply(const HostId &host, const SyncReply &reply);
+    void onNextRequestTimer();
+    /// True if the records are so old that this node is to read the registry itself.
+    [[nodiscard]] bool areRecordsOld(TimePoint now) const;
+    [[nodiscard]] Duration maxAge() const;
+    void setUpstream(const std::optional<HostId> &host);
+    /// Passes changed records on and takes over the hosts of the fleet.
+    void passOn();
+    [[nodiscard]] RegistryPeer peerOf(const RegisteredTarget &target) const;
     /// Puts a new state in force if the follower's records have changed.
     void publish();
     void publishRoutes(State &state);
@@ -68,6 +86,17 @@
     std::string m_address; ///< registry that m_source reads
     std::unique_ptr<RegistrySource> m_source; ///< never null
     RegistryFollower m_follower;
+    UpstreamSelector m_upstreams;
+    RegistryPeers m_peers;
+    std::optional<HostId> m_upstream; ///< where the records were last requested; nothing: the registry
+    std::vector<RegistryPeer> m_discovered;
+    std::string m_discoverAfter; ///< where the next page of discoverPeers() starts
+    TimePoint m_discoverAt; ///< earliest time of the next page
+    bool m_isDiscovering = true;
+    bool m_isPeerRequest = false; ///< the request in progress goes to a peer
+    TimePoint m_confirmedAt; ///< when the registry last confirmed the records
+    std::uint64_t m_passedOnChanges = 0; ///< value of m_follower.changes() that peers were told about
+    bool m_passedOnListing = false;
     Logbook m_logbook;
     TicketWaiters m_waiters;
     Timer m_nextRequestTimer;
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -1,9 +1,10 @@
 // Tracks the configuration and targets in a registry, across outages, lost change history and stale records.
 #pragma once
 
-#include "jasminemast/registry/registrysource.h"
+#include "jasminemast/registry/syncmessages.h"
 
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 
@@ -14,16 +15,17 @@
 {
     /// Max wait of one watch. A watch can stop reporting changes while its connection stays open, so this bounds how
     /// long a change is missed; each watch costs one registry call.
-    Milliseconds watchWait {2'000};
-    Milliseconds coalescingDelay {1'000}; ///< delay after changes, so that several in quick succession cost one call
+    Milliseconds watchWait {800};
+    Milliseconds coalescingDelay {500}; ///< delay after changes, so that several in quick succession cost one call
     Milliseconds minRetryDelay {100}; ///< delay after the first failed call; doubled after each further one
     Milliseconds maxRetryDelay {800}; ///< bounds how late a change is seen after an outage
     /// Time after an outage of the registry within which targets that were removed during it can register again.
     Milliseconds reregistrationGrace {2'000};
-    /// Delay of the listing after a new configuration. A listing contains only the newest configuration, while the
-    /// changes of a few seconds can be many times as large. Less than half of the time within which a change must be in
-    /// force.
-    Milliseconds relistDelay {1'000};
+    /// After changes of this size the next call is a listing: it contains only the newest configuration, while the
+    /// changes of a few seconds can be many times as large.
+    std::size_t maxChangeBytes = 1U << 20U;
+    /// Factor of the retry delays of a node that reads the registry only because its peers fail.
+    unsigned standbyDelayFactor = 4;
     std::size_t maxRemovedReports = 4'096; ///< removed targets whose last report is stored
 };
 
@@ -72,10 +74,18 @@
     void onResponse(RegistryResponse response, TimePoint now);
     /// Removes targets that did not register again within reregistrationGrace after an outage.
     void expire(TimePoint now);
+    /// Takes what a peer passes on. False if the content does not fit: ask for all of it.
+    bool applyContent(const SyncContent &content, TimePoint now);
+    /// Whether this node regularly reads the registry, and so is the first to try again after a failure.
+    void setStandby(bool isStandby)
+    {
+        m_isStandby = isStandby;
+    }
     /// Discards the position in the change history: lists everything again, not before \p when.
     void refresh(TimePoint when);
 
-    [[nodiscard]] const std::optional<PublishedConfiguration> &configuration() const
+    /// The newest configuration; null before the first.
+    [[nodiscard]] const std::shared_ptr<const PublishedConfiguration> &configuration() const
     {
         return m_configuration;
     }
@@ -91,6 +101,18 @@
     {
         return m_hasListed;
     }
+    /// Identifies the set of targets and their reports.
+    [[nodiscard]] std::uint64_t targetsDigest() const
+    {
+        return m_targetsDigest;
+    }
+    /// All changes up to this revision are in the records; none of them waits for its grace period.
+    [[nodiscard]] Revision settledRevision() const
+    {
+        return m_settledRevision;
+    }
+    /// Returns the targets that were changed or removed since the last call.
+    std::vector<EndpointId> takeChangedTargets();
     /// Number of changes of configuration and targets so far.
     [[nodiscard]] std::uint64_t changes() const
     {
@@ -116,6 +138,9 @@
 
     [[nodiscard]] TicketNumber number() const;
     void onFailure(ResultCode code, TimePoint now);
+    void setConfiguration(PublishedConfiguration configuration);
+    void updateSettledRevision();
+    void recordTargetChange(const EndpointId &id);
     void onPage(RegistryResponse &response, TimePoint now);
     void endListing(TimePoint now);
     void onChanges(RegistryResponse &response, TimePoint now);
@@ -127,7 +152,7 @@
     [[nodiscard]] bool isInGracePeriod(TimePoint now) const;
 
     RegistryFollowerLimits m_limits;
-    std::optional<PublishedConfiguration> m_configuration;
+    std::shared_ptr<const PublishedConfiguration> m_configuration;
     std::map<EndpointId, KnownTarget> m_targets;
     std::map<EndpointId, TimePoint> m_unconfirmed; ///< when to remove targets that have not registered again
     /// Last reports of removed targets, so that a late report does not add them again.
@@ -135,9 +160,12 @@
     std::vector<InvalidRecord> m_invalidRecords;
     std::set<EndpointId> m_seen; ///< targets in the current listing so far
     std::string m_after; ///< where the next page of the current listing starts
-    TicketNumber m_numberAtListStart; ///< number of the configuration when the current listing began
     std::optional<Revision> m_listStart; ///< revision of the first page of the current listing
     Revision m_revision; ///< up to which all changes have been read
+    Revision m_settledRevision; ///< m_revision when m_unconfirmed was last empty
+    std::uint64_t m_targetsDigest = 0; ///< combines the reports of m_targets
+    std::vector<EndpointId> m_changedTargets;
+    bool m_isStandby = false;
     bool m_isListing = true;
     bool m_hasListed = false;
     unsigned m_failures = 0; ///< consecutive failed calls
--- a/include/jasminemast/registry/registrysource.h
+++ b/include/jasminemast/registry/registrysource.h
@@ -68,6 +68,7 @@
     std::string detail; ///< cause of a failure
     std::vector<RegistryRecord> records;
     Revision revision; ///< of the registry when it responded
+    std::size_t size = 0; ///< bytes of the response
     std::string next; ///< where the next page of a listing starts; empty on the last page
 };
 
@@ -82,6 +83,8 @@
     /// Reads one page of all records; \p after is empty for the first page, then RegistryResponse::next. Records can
     /// change between pages.
     virtual void list(const std::string &after, Handler handler) = 0;
+    /// Reads one page of the targets alone. The page may be some seconds old: use it only to find peers.
+    virtual void listTargets(const std::string &after, Handler handler) = 0;
     /// Long poll: waits up to \p wait for changes after \p revision.
     virtual void watch(Revision revision, Milliseconds wait, Handler handler) = 0;
     /// Cancels the pending call; its handler is not called.
--- a/lib/node/pulllinks.cpp
+++ b/lib/node/pulllinks.cpp
@@ -119,6 +119,9 @@
         }
         return;
     }
+    case ControlFrame::SyncRequest:
+    case ControlFrame::SyncReply:
+        throw ResultError(ResultCode::FrameMalformed, "records of a registry are not exchanged without one");
     }
 }
 
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -3,6 +3,8 @@
 
 #include "jasminemast/support/events.h"
 
+#include <algorithm>
+
 namespace jasminemast
 {
 
@@ -12,6 +14,27 @@
 constexpr std::size_t MaxLogbookEntries = 1'000; // fits into one response of /v1/tickets
 /// How often removed targets are checked for expiry; short compared with their grace period.
 constexpr Milliseconds ExpiryInterval {250};
+/// How long a peer may wait for changes, and when a reply is overdue.
+constexpr Milliseconds PeerWait {500};
+constexpr Milliseconds PeerTimeout {1'000};
+/// Age from which records are read at another node. A reader confirms them about every 1.4 s.
+constexpr Milliseconds MaxPeerAge {1'900};
+/// The first nodes of a zone turn to the registry before the others, who can then read at them.
+constexpr Milliseconds AgePerRank {100};
+constexpr std::size_t MaxAgeRanks = 4;
+/// How often a node whose own target has not registered looks for peers.
+constexpr Milliseconds DiscoveryInterval {400};
+constexpr Milliseconds FailedPeerExclusion {1'000};
+constexpr Milliseconds OldPeerExclusion {100};
+/// During a long outage of the registry peers are asked less often.
+constexpr Milliseconds OutageAge {4'000};
+constexpr Milliseconds OutagePeerExclusion {300};
+
+RegionId regionOf(const NodeSettings &settings, const ZoneId &zone)
+{
+    const auto region = settings.registry.regions.find(zone);
+    return region == settings.registry.regions.end() ? RegionId() : region->second;
+}
 
 } // namespace
 
@@ -22,12 +45,16 @@
     , m_makeSource(std::move(makeSource))
     , m_address(context.settings.registry.address)
     , m_source(m_makeSource(m_address))
+    , m_upstreams({context.settings.self.host, context.settings.self.zone,
+                   regionOf(context.settings, context.settings.self.zone)})
+    , m_peers(context.loop, context.clock, context.links, m_follower, [this] { return m_confirmedAt; })
     , m_logbook(MaxLogbookEntries)
     , m_waiters(context.loop, context.clock)
-    , m_nextRequestTimer(context.loop, [this] { startNextRequest(); })
+    , m_nextRequestTimer(context.loop, [this] { onNextRequestTimer(); })
     , m_expiryTimer(context.loop,
                     [this] {
                         m_follower.expire(m_clock.now());
+                        passOn();
                         publish();
                     })
     , m_state(emptyState())
@@ -36,6 +63,7 @@
 
 void RegistryTask::start()
 {
+    m_confirmedAt = m_clock.now();
     m_expiryTimer.startRepeating(ExpiryInterval);
     startNextRequest();
 }
@@ -43,6 +71,7 @@
 void RegistryTask::beginDrain()
 {
     m_draining = true;
+    m_peers.beginDrain();
 }
 
 void RegistryTask::onSettings()
@@ -52,6 +81,7 @@
     }
     m_address = m_settings.registry.address;
     m_source = m_makeSource(m_address);
+    m_peers.cancel();
     m_requestPending = false;
     m_follower.refresh(m_clock.now());
     startNextRequest();
@@ -62,22 +92,25 @@
     // The connection of a watch in progress may have broken during the pause; the next watch begins at the same
     // revision.
     m_source->cancel();
+    m_peers.cancel();
     m_requestPending = false;
+    m_confirmedAt = m_clock.now() - maxAge();
     startNextRequest();
 }
 
 void RegistryTask::observeTicket(const HostId & /*peer*/, TicketNumber /*number*/)
 {
-    // This node's own watch reports every configuration.
+    // A pending request to a peer or the registry reports every configuration.
 }
 
-void RegistryTask::onFrame(const std::shared_ptr<Link> & /*link*/, ControlFrame /*type*/, std::string_view /*payload*/)
+void RegistryTask::onFrame(const std::shared_ptr<Link> &link, ControlFrame type, std::string_view payload)
 {
-    throw ResultError(ResultCode::FrameMalformed, "control frames are not used with a registry");
+    m_peers.onFrame(link, type, payload);
 }
 
-void RegistryTask::onLinkDown(const std::shared_ptr<Link> & /*link*/)
+void RegistryTask::onLinkDown(const std::shared_ptr<Link> &link)
 {
+    m_peers.onLinkDown(link);
 }
 
 void RegistryTask::whenReached(TicketNumber number, TimePoint deadline, std::function<void(bool)> done)
@@ -97,7 +130,7 @@
 
 Readiness RegistryTask::readiness() const
 {
-    const bool hasConfiguration = m_follower.isListed() && m_follower.configuration().has_value();
+    const bool hasConfiguration = m_follower.isListed() && m_follower.configuration() != nullptr;
     return hasConfiguration && !m_draining ? Readiness::Ready : Readiness::Joining;
 }
 
@@ -107,18 +140,175 @@
     return nlohmann::json::array();
 }
 
+Duration RegistryTask::maxAge() const
+{
+    return MaxPeerAge + AgePerRank * std::min(m_upstreams.rank(), MaxAgeRanks);
+}
+
+bool RegistryTask::areRecordsOld(TimePoint now) const
+{
+    return now - m_confirmedAt >= maxAge();
+}
+
 void RegistryTask::startNextRequest()
 {
     if (m_requestPending) {
         return;
     }
+    const TimePoint now = m_clock.now();
+    m_follower.setStandby(!m_upstreams.candidates().empty());
+    const RegistryAction action = m_follower.next(now);
+    const auto *wait = std::get_if<registryaction::Wait>(&action);
+    if (wait == nullptr && areRecordsOld(now)) {
+        requestFromRegistry(action);
+        return;
+    }
+    if (const auto host = m_upstreams.choose(now)) {
+        requestFromPeer(*host);
+        return;
+    }
+    if (wait != nullptr) {
+        m_nextRequestTimer.start(std::min(wait->until, m_upstreams.nextAvailable(now)) - now);
+        return;
+    }
+    if (!m_isDiscovering) {
+        requestFromRegistry(action);
+    } else if (now < m_discoverAt) {
+        m_nextRequestTimer.start(std::min(m_discoverAt, m_upstreams.nextAvailable(now)) - now);
+    } else {
+        discoverPeers();
+    }
+}
+
+void RegistryTask::onNextRequestTimer()
+{
     const TimePoint now = m_clock.now();
     const RegistryAction action = m_follower.next(now);
-    if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
-        m_nextRequestTimer.start(wait->until - now);
+    if (m_requestPending && m_isPeerRequest) {
+        if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
+            m_nextRequestTimer.start(wait->until - now);
+            return;
+        }
+        m_peers.cancel();
+        m_requestPending = false;
+    }
+    startNextRequest();
+}
+
+void RegistryTask::setUpstream(const std::optional<HostId> &host)
+{
+    if (host == m_upstream) {
+        return;
+    }
+    m_upstream = host;
+    const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_confirmedAt);
+    logEvent(Event::UpstreamChanged,
+             {{"upstream", host ? host->value() : "registry"},
+              {"rank", std::to_string(m_upstreams.rank())},
+              {"ageMs", std::to_string(age.count())}});
+}
+
+void RegistryTask::requestFromPeer(const HostId &host)
+{
+    setUpstream(host);
+    m_requestPending = true;
+    m_isPeerRequest = true;
+    SyncRequest request;
+    request.isListed = m_follower.isListed();
+    request.number = m_follower.configuration() ? m_follower.configuration()->number : TicketNumber(0);
+    request.revision = m_follower.settledRevision();
+    request.targetsDigest = m_follower.targetsDigest();
+    request.waitMs = m_isDiscovering ? 0 : static_cast<std::uint32_t>(PeerWait.count());
+    const TimePoint now = m_clock.now();
+    // Stops waiting for the peer once the records are old.
+    m_nextRequestTimer.start(std::max(Duration(0), m_confirmedAt + maxAge() - now));
+    m_peers.request(host, SocketAddress {host.value(), m_settings.linkPort}, request, PeerTimeout,
+                    [this, host](const std::optional<SyncReply> &reply) { onPeerReply(host, reply); });
+}
+
+void RegistryTask::onPeerReply(const HostId &host, const std::optional<SyncReply> &reply)
+{
+    m_requestPending = false;
+    const TimePoint now = m_clock.now();
+    if (reply && reply->status == SyncStatus::Ok) {
+        applyReply(host, *reply);
+    } else if (reply && reply->status == SyncStatus::NotListed && !m_isDiscovering) {
+        m_upstreams.exclude(host, now + OldPeerExclusion);
+    } else {
+        m_upstreams.exclude(host, now + FailedPeerExclusion);
+    }
+    startNextRequest();
+}
+
+void RegistryTask::applyReply(const HostId &host, const SyncReply &reply)
+{
+    const TimePoint now = m_clock.now();
+    try {
+        const SyncContent content = decodeSyncContent(reply.content);
+        const bool fits = m_follower.applyContent(content, now);
+        // One of the two nodes is behind, or ignored a report: asking again would lead to the same.
+        const bool disagrees = content.hasAllTargets && content.targetsDigest != m_follower.targetsDigest();
+        if (!fits || disagrees) {
+            m_upstreams.exclude(host, now + FailedPeerExclusion);
+        }
+    } catch (const ResultError &error) {
+        m_metrics.count(Counter::InputRefused, error.code());
+        m_upstreams.exclude(host, now + FailedPeerExclusion);
         return;
     }
+    m_isDiscovering = m_isDiscovering && !m_follower.isListed();
+    m_confirmedAt = std::max(m_confirmedAt, now - Milliseconds(reply.ageMs));
+    if (Milliseconds(reply.ageMs) >= MaxPeerAge) {
+        const bool isOutage = now - m_confirmedAt >= OutageAge;
+        m_upstreams.exclude(host, now + (isOutage ? OutagePeerExclusion : OldPeerExclusion));
+    }
+    passOn();
+    publish();
+}
+
+void RegistryTask::discoverPeers()
+{
+    m_requestPending = true;
+    m_isPeerRequest = false;
+    m_source->listTargets(m_discoverAfter, [this](RegistryResponse response) {
+        m_requestPending = false;
+        updateSourceStatus(response.code, response.detail);
+        if (response.code != ResultCode::Ok) {
+            m_follower.onResponse(std::move(response), m_clock.now());
+            startNextRequest();
+            return;
+        }
+        for (const RegistryRecord &record : response.records) {
+            if (const auto *target = std::get_if<RegisteredTarget>(&record)) {
+                m_discovered.push_back(peerOf(*target));
+            }
+        }
+        m_upstreams.setPeers(m_discovered);
+        m_discoverAfter = response.next;
+        if (m_discoverAfter.empty()) {
+            onPeersDiscovered();
+        }
+        startNextRequest();
+    });
+}
+
+void RegistryTask::onPeersDiscovered()
+{
+    const TimePoint now = m_clock.now();
+    const bool isSelfListed = std::any_of(m_discovered.begin(), m_discovered.end(), [this](const RegistryPeer &peer) {
+        return peer.host == m_settings.self.host;
+    });
+    m_isDiscovering = !isSelfListed && !areRecordsOld(now);
+    // The target of this node starts together with those of its peers: none of them may have registered yet.
+    m_discoverAt = now + DiscoveryInterval;
+    m_discovered.clear();
+}
+
+void RegistryTask::requestFromRegistry(const RegistryAction &action)
+{
+    setUpstream(std::nullopt);
     m_requestPending = true;
+    m_isPeerRequest = false;
     const auto handler = [this](RegistryResponse response) {
         m_requestPending = false;
         onResponse(std::move(response));
@@ -134,12 +324,42 @@
 void RegistryTask::onResponse(RegistryResponse response)
 {
     updateSourceStatus(response.code, response.detail);
+    const bool isConfirmed = response.code == ResultCode::Ok;
     m_follower.onResponse(std::move(response), m_clock.now());
+    if (isConfirmed && m_follower.isListed()) {
+        m_confirmedAt = m_clock.now();
+        m_isDiscovering = false;
+    }
     logInvalidRecords();
+    passOn();
     publish();
     startNextRequest();
 }
 
+RegistryPeer RegistryTask::peerOf(const RegisteredTarget &target) const
+{
+    return {HostId(target.address.ip), target.zone, regionOf(m_settings, target.zone)};
+}
+
+void RegistryTask::passOn()
+{
+    if (m_follower.changes() == m_passedOnChanges && m_follower.isListed() == m_passedOnListing) {
+        return;
+    }
+    m_passedOnChanges = m_follower.changes();
+    m_passedOnListing = m_follower.isListed();
+    if (m_follower.isListed()) {
+        std::vector<RegistryPeer> peers;
+        for (const RegisteredTarget &target : m_follower.activeTargets()) {
+            if (!target.draining) {
+                peers.push_back(peerOf(target));
+            }
+        }
+        m_upstreams.setPeers(std::move(peers));
+    }
+    m_peers.onChange(m_follower.takeChangedTargets());
+}
+
 void RegistryTask::updateSourceStatus(ResultCode code, const std::string &detail)
 {
     const bool isDown = code != ResultCode::Ok && code != ResultCode::RegistryHistoryGone;
@@ -220,8 +440,7 @@
                           std::make_shared<const Endpoint>(
                               Endpoint {target.id, host, target.address.port, target.slots, target.draining}));
         service->second.endpoints.push_back(target.id);
-        const auto region = m_settings.registry.regions.find(target.zone);
-        const RegionId regionId = region == m_settings.registry.regions.end() ? RegionId() : region->second;
+        const RegionId regionId = regionOf(m_settings, target.zone);
         m_hosts.insert_or_assign(
             host, HostView {HostRecord {host, regionId, target.zone, target.address.ip}, HostState::Live});
     }
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -2,7 +2,11 @@
 #include "jasminemast/registry/registryfollower.h"
 
 #include <algorithm>
+#include <array>
+#include <tuple>
 #include <type_traits>
+#include <utility>
+#include <xxhash.h>
 
 namespace jasminemast
 {
@@ -12,6 +16,23 @@
 
 constexpr unsigned MaxDoublings = 8;
 
+std::uint64_t reportDigest(const RegisteredTarget &target)
+{
+    const std::uint64_t idDigest = XXH3_64bits(target.id.value().data(), target.id.value().size());
+    const std::array<std::uint64_t, 4> fields {idDigest, target.revision.value(), target.startedAt, target.sequence};
+    return XXH3_64bits(fields.data(), sizeof(fields));
+}
+
+/// Compares all but the remaining warm-up time, which depends on when it was read.
+bool isSameReport(const RegisteredTarget &left, const RegisteredTarget &right)
+{
+    const auto fields = [](const RegisteredTarget &target) {
+        return std::tie(target.revision, target.startedAt, target.sequence, target.address, target.service, target.zone,
+                        target.slots, target.draining);
+    };
+    return fields(left) == fields(right);
+}
+
 } // namespace
 
 RegistryFollower::RegistryFollower(RegistryFollowerLimits limits)
@@ -54,7 +75,8 @@
 void RegistryFollower::onFailure(ResultCode /*code*/, TimePoint now)
 {
     const auto factor = 1U << std::min(m_failures, MaxDoublings);
-    m_nextCallAt = now + std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay);
+    const unsigned standbyFactor = m_isStandby ? m_limits.standbyDelayFactor : 1;
+    m_nextCallAt = now + std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay) * standbyFactor;
     ++m_failures;
 }
 
@@ -64,7 +86,6 @@
     m_after.clear();
     m_seen.clear();
     m_listStart.reset();
-    m_numberAtListStart = number();
     m_nextCallAt = when;
 }
 
@@ -105,23 +126,20 @@
     m_revision = *m_listStart;
     m_listStart.reset();
     m_seen.clear();
-    const bool hasNumberChanged = m_hasListed && number() != m_numberAtListStart;
     m_isListing = false;
     m_hasListed = true;
-    if (hasNumberChanged) {
-        refresh(now + m_limits.relistDelay);
-    }
+    updateSettledRevision();
 }
 
 void RegistryFollower::onChanges(RegistryResponse &response, TimePoint now)
 {
-    const TicketNumber before = number();
     for (RegistryRecord &record : response.records) {
         applyRecord(record, now);
     }
     m_revision = std::max(m_revision, response.revision);
-    if (number() != before) {
-        refresh(now + m_limits.relistDelay);
+    updateSettledRevision();
+    if (response.size > m_limits.maxChangeBytes) {
+        refresh(now + m_limits.coalescingDelay);
     } else if (!response.records.empty()) {
         m_nextCallAt = now + m_limits.coalescingDelay;
     }
@@ -133,10 +151,7 @@
         [&](auto &concrete) {
             using Record = std::decay_t<decltype(concrete)>;
             if constexpr (std::is_same_v<Record, PublishedConfiguration>) {
-                if (!m_configuration || m_configuration->number < concrete.number) {
-                    m_configuration = std::move(concrete);
-                    ++m_changes;
-                }
+                setConfiguration(std::move(concrete));
             } else if constexpr (std::is_same_v<Record, RegisteredTarget>) {
                 applyTarget(concrete, now);
             } else if constexpr (std::is_same_v<Record, TargetRemoved>) {
@@ -152,6 +167,81 @@
         record);
 }
 
+void RegistryFollower::setConfiguration(PublishedConfiguration configuration)
+{
+    if (!m_configuration || m_configuration->number < configuration.number) {
+        m_configuration = std::make_shared<const PublishedConfiguration>(std::move(configuration));
+        ++m_changes;
+    }
+}
+
+bool RegistryFollower::applyContent(const SyncContent &content, TimePoint now)
+{
+    if (content.configuration) {
+        const ConfigurationDelta &delta = *content.configuration;
+        if (delta.base == TicketNumber(0)) {
+            setConfiguration(delta.configuration);
+        } else if (delta.base == number()) {
+            setConfiguration(applyDelta(*m_configuration, delta));
+        } else {
+            return false;
+        }
+    }
+    std::set<EndpointId> passedOn;
+    for (const RegisteredTarget &target : content.targets) {
+        passedOn.insert(target.id);
+        applyTarget(target, now);
+    }
+    std::vector<EndpointId> removed = content.removedTargets;
+    if (content.hasAllTargets) {
+        for (const auto &[id, known] : m_targets) {
+            if (!passedOn.contains(id)) {
+                removed.push_back(id);
+            }
+        }
+        m_hasListed = true;
+    }
+    for (const EndpointId &id : removed) {
+        const auto known = m_targets.find(id);
+        // The peer cannot know a target that registered later than what it has read.
+        if (known != m_targets.end() && known->second.target.revision <= content.revision) {
+            remove(id);
+        }
+    }
+    if (m_failures > 0) {
+        m_failures = 0;
+        m_nextCallAt = now;
+        m_recoveredAt = now;
+    }
+    if (m_hasListed && content.targetsDigest == m_targetsDigest) {
+        m_isListing = false;
+        m_after.clear();
+        m_seen.clear();
+        m_listStart.reset();
+        m_revision = std::max(m_revision, content.revision);
+        updateSettledRevision();
+    }
+    return true;
+}
+
+void RegistryFollower::updateSettledRevision()
+{
+    if (m_unconfirmed.empty()) {
+        m_settledRevision = m_revision;
+    }
+}
+
+void RegistryFollower::recordTargetChange(const EndpointId &id)
+{
+    ++m_changes;
+    m_changedTargets.push_back(id);
+}
+
+std::vector<EndpointId> RegistryFollower::takeChangedTargets()
+{
+    return std::exchange(m_changedTargets, {});
+}
+
 void RegistryFollower::applyTarget(const RegisteredTarget &target, TimePoint now)
 {
     const ReportVersion version {target.startedAt, target.sequence};
@@ -162,13 +252,21 @@
             return;
         }
     }
+    if (known != m_targets.end() && isSameReport(known->second.target, target)) {
+        m_unconfirmed.erase(target.id);
+        return;
+    }
     const auto removedReport = m_removedReports.find(target.id);
     if (known == m_targets.end() && removedReport != m_removedReports.end() && version <= removedReport->second) {
         return;
     }
     m_unconfirmed.erase(target.id);
+    if (known != m_targets.end()) {
+        m_targetsDigest ^= reportDigest(known->second.target);
+    }
+    m_targetsDigest ^= reportDigest(target);
     m_targets.insert_or_assign(target.id, KnownTarget {target, now + target.warmUpRemaining});
-    ++m_changes;
+    recordTargetChange(target.id);
 }
 
 bool RegistryFollower::isInGracePeriod(TimePoint now) const
@@ -210,9 +308,10 @@
     }
     const RegisteredTarget &last = known->second.target;
     m_removedReports.insert_or_assign(id, ReportVersion {last.startedAt, last.sequence});
+    m_targetsDigest ^= reportDigest(last);
     m_unconfirmed.erase(id);
     m_targets.erase(known);
-    ++m_changes;
+    recordTargetChange(id);
 }
 
 std::vector<RegisteredTarget> RegistryFollower::activeTargets() const
@@ -246,6 +345,9 @@
     for (const EndpointId &id : expired) {
         remove(id);
     }
+    if (!expired.empty()) {
+        updateSettledRevision();
+    }
 }
 
 std::vector<InvalidRecord> RegistryFollower::takeInvalidRecords()
--- /dev/null
+++ b/lib/registry/syncmessages.cpp
@@ -0,0 +1,142 @@
+// Differences between configurations, and their encoding.
+#include "jasminemast/registry/syncmessages.h"
+
+#include "jasminemast/support/archive.h"
+#include "jasminemast/support/compression.h"
+
+#include <algorithm>
+#include <unordered_map>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+constexpr std::size_t MaxContentBytes = 32U << 20U; // of an uncompressed message
+
+template<class Archive>
+void serializeMilliseconds(Archive &archive, Milliseconds &time)
+{
+    auto count = static_cast<std::int64_t>(time.count());
+    archive(count);
+    time = Milliseconds(count);
+}
+
+} // namespace
+
+template<class Archive>
+void serialize(Archive &archive, WeightedService &service)
+{
+    archive(service.service, service.weight);
+}
+
+template<class Archive>
+void serialize(Archive &archive, Route &route)
+{
+    archive(route.id, route.host, route.pathPrefix, route.methods, route.service, route.split, route.repeatable);
+    serializeMilliseconds(archive, route.timeout);
+    archive(route.attempts, route.priority);
+    serializeMilliseconds(archive, route.targetLatency);
+}
+
+template<class Archive>
+void serialize(Archive &archive, RequestLimits &limits)
+{
+    auto maxHeaderBytes = static_cast<std::uint64_t>(limits.maxHeaderBytes);
+    auto maxBodyBytes = static_cast<std::uint64_t>(limits.maxBodyBytes);
+    archive(maxHeaderBytes, maxBodyBytes);
+    limits.maxHeaderBytes = maxHeaderBytes;
+    limits.maxBodyBytes = maxBodyBytes;
+    serializeMilliseconds(archive, limits.headerTimeout);
+    serializeMilliseconds(archive, limits.idleTimeout);
+}
+
+template<class Archive>
+void serialize(Archive &archive, PublishedConfiguration &configuration)
+{
+    archive(configuration.number, configuration.digest, configuration.routes, configuration.services,
+            configuration.requestLimits);
+}
+
+template<class Archive>
+void serialize(Archive &archive, RegisteredTarget &target)
+{
+    archive(target.id, target.service, target.zone, target.address.ip, target.address.port, target.slots,
+            target.draining);
+    serializeMilliseconds(archive, target.warmUpRemaining);
+    archive(target.startedAt, target.sequence, target.revision);
+}
+
+template<class Archive>
+void serialize(Archive &archive, ConfigurationDelta &delta)
+{
+    archive(delta.base, delta.configuration, delta.removedRoutes);
+}
+
+template<class Archive>
+void serialize(Archive &archive, SyncContent &content)
+{
+    archive(content.revision, content.targetsDigest, content.configuration, content.hasAllTargets, content.targets,
+            content.removedTargets);
+}
+
+ConfigurationDelta makeDelta(const PublishedConfiguration &base, const PublishedConfiguration &target)
+{
+    std::unordered_map<std::string_view, const Route *> removed;
+    for (const Route &route : base.routes) {
+        removed.emplace(route.id.value(), &route);
+    }
+    ConfigurationDelta delta;
+    delta.base = base.number;
+    delta.configuration.number = target.number;
+    delta.configuration.digest = target.digest;
+    delta.configuration.services = target.services;
+    delta.configuration.requestLimits = target.requestLimits;
+    for (const Route &route : target.routes) {
+        const auto known = removed.find(route.id.value());
+        if (known == removed.end() || *known->second != route) {
+            delta.configuration.routes.push_back(route);
+        }
+        if (known != removed.end()) {
+            removed.erase(known);
+        }
+    }
+    for (const auto &[id, route] : removed) {
+        delta.removedRoutes.push_back(route->id);
+    }
+    std::sort(delta.removedRoutes.begin(), delta.removedRoutes.end());
+    return delta;
+}
+
+PublishedConfiguration applyDelta(const PublishedConfiguration &base, const ConfigurationDelta &delta)
+{
+    PublishedConfiguration result = delta.configuration;
+    std::unordered_map<std::string_view, bool> replaced;
+    for (const Route &route : delta.configuration.routes) {
+        replaced.emplace(route.id.value(), true);
+    }
+    for (const RouteId &id : delta.removedRoutes) {
+        replaced.emplace(id.value(), true);
+    }
+    for (const Route &route : base.routes) {
+        if (!replaced.contains(route.id.value())) {
+            result.routes.push_back(route);
+        }
+    }
+    return result;
+}
+
+std::string encodeSyncContent(const SyncContent &content)
+{
+    return compress(encodeMessage(content));
+}
+
+SyncContent decodeSyncContent(std::string_view bytes)
+{
+    return decodeMessage<SyncContent>(
+        decompress(bytes, MaxContentBytes, {ResultCode::FrameMalformed, ResultCode::FrameMalformed}),
+        ResultCode::FrameMalformed);
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/registry/synctest.cpp
@@ -0,0 +1,355 @@
+// Records that nodes pass on to each other, in any order of changes, losses, restarts and changes of upstream.
+#include "jasminemast/registry/syncserver.h"
+
+#include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
+
+using namespace jasminemast;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const TimePoint Start {std::chrono::hours(1)};
+
+Route route(const std::string &id, const std::string &service = "s")
+{
+    Route result;
+    result.id = RouteId(id);
+    result.host = "h.example";
+    result.pathPrefix = "/" + id + "/";
+    result.service = ServiceId(service);
+    result.repeatable = true;
+    result.timeout = 500ms;
+    return result;
+}
+
+PublishedConfiguration configuration(std::uint64_t number, std::vector<Route> routes)
+{
+    PublishedConfiguration result;
+    result.number = TicketNumber(number);
+    result.digest = sha256(std::to_string(number));
+    result.routes = std::move(routes);
+    result.services = {ServiceId("s"), ServiceId("t")};
+    result.requestLimits.maxHeaderBytes = 4'096;
+    return result;
+}
+
+RegisteredTarget target(const std::string &id, std::uint64_t sequence, std::uint64_t revision, bool draining = false)
+{
+    RegisteredTarget result;
+    result.id = EndpointId(id);
+    result.service = ServiceId("s");
+    result.zone = ZoneId("z");
+    result.address = {"10.0.0." + id, 80};
+    result.slots = 4;
+    result.draining = draining;
+    result.startedAt = 1'000;
+    result.sequence = sequence;
+    result.revision = Revision(revision);
+    return result;
+}
+
+RegistryResponse response(std::uint64_t revision, std::vector<RegistryRecord> records)
+{
+    RegistryResponse result;
+    result.revision = Revision(revision);
+    result.records = std::move(records);
+    return result;
+}
+
+/// A node: what it knows, and what it tells others.
+struct Node
+{
+    void read(RegistryResponse records, TimePoint now)
+    {
+        follower.onResponse(std::move(records), now);
+        changed(now);
+    }
+
+    /// What waiting peers are told.
+    SyncServer::Replies changed(TimePoint now)
+    {
+        return server.onChange(follower.takeChangedTargets(), now, now);
+    }
+
+    [[nodiscard]] SyncRequest request(std::uint32_t waitMs = 0) const
+    {
+        SyncRequest result;
+        result.id = 7;
+        result.isListed = follower.isListed();
+        result.number = follower.configuration() ? follower.configuration()->number : TicketNumber(0);
+        result.revision = follower.settledRevision();
+        result.targetsDigest = follower.targetsDigest();
+        result.waitMs = waitMs;
+        return result;
+    }
+
+    /// Reads at \p upstream and returns its reply.
+    SyncReply readAt(Node &upstream, TimePoint now)
+    {
+        auto replies = upstream.server.onRequest({&upstream, 7}, request(), now, now);
+        EXPECT_EQ(replies.size(), 1U);
+        SyncReply reply = replies.front().second;
+        if (reply.status == SyncStatus::Ok) {
+            follower.applyContent(decodeSyncContent(reply.content), now);
+            changed(now);
+        }
+        return reply;
+    }
+
+    RegistryFollower follower;
+    SyncServer server {follower};
+};
+
+std::map<EndpointId, Revision> revisionsOf(const Node &node)
+{
+    std::map<EndpointId, Revision> result;
+    for (const auto &[id, known] : node.follower.targets()) {
+        result.emplace(id, known.target.revision);
+    }
+    return result;
+}
+
+std::map<RouteId, Route> routesOf(const PublishedConfiguration &published)
+{
+    std::map<RouteId, Route> result;
+    for (const Route &item : published.routes) {
+        result.emplace(item.id, item);
+    }
+    return result;
+}
+
+} // namespace
+
+TEST(SyncTest, NodeWithoutRecordsGetsAll)
+{
+    Node upstream;
+    Node node;
+    EXPECT_EQ(node.readAt(upstream, Start).status, SyncStatus::NotListed);
+    upstream.read(response(10, {configuration(3, {route("a"), route("b")}), target("1", 1, 8), target("2", 1, 9)}),
+                  Start);
+    EXPECT_EQ(node.readAt(upstream, Start).status, SyncStatus::Ok);
+    EXPECT_TRUE(node.follower.isListed());
+    EXPECT_EQ(routesOf(*node.follower.configuration()), routesOf(*upstream.follower.configuration()));
+    EXPECT_EQ(node.follower.configuration()->requestLimits, upstream.follower.configuration()->requestLimits);
+    EXPECT_EQ(revisionsOf(node), revisionsOf(upstream));
+    const RegistryAction watch = node.follower.next(Start);
+    EXPECT_EQ(std::get<registryaction::Watch>(watch).revision, Revision(10)) << "a reader goes on from here";
+}
+
+TEST(SyncTest, ChangeAnswersAWaitingRequestWithTheDifference)
+{
+    std::vector<Route> routes;
+    for (int i = 0; i < 1'400; ++i) {
+        routes.push_back(route("r" + std::to_string(i)));
+    }
+    Node upstream;
+    Node node;
+    upstream.read(response(10, {configuration(3, routes), target("1", 1, 8), target("2", 1, 9)}), Start);
+    const std::size_t wholeBytes = node.readAt(upstream, Start).content.size();
+    EXPECT_TRUE(upstream.server.onRequest({&node, 1}, node.request(500), Start, Start).empty());
+    routes[7] = route("r7", "t");
+    routes.erase(routes.begin() + 9);
+    routes.push_back(route("new"));
+    upstream.follower.onResponse(response(12, {configuration(5, routes), target("1", 2, 12, true)}), Start + 100ms);
+    const auto replies = upstream.changed(Start + 100ms);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_LT(replies.front().second.content.size(), wholeBytes / 10);
+    EXPECT_TRUE(node.follower.applyContent(decodeSyncContent(replies.front().second.content), Start + 100ms));
+    EXPECT_EQ(routesOf(*node.follower.configuration()), routesOf(configuration(5, routes)));
+    EXPECT_TRUE(node.follower.targets().at(EndpointId("1")).target.draining);
+    EXPECT_EQ(node.follower.targetsDigest(), upstream.follower.targetsDigest());
+}
+
+TEST(SyncTest, RequestsAreAnsweredWhenTheirWaitIsOverOrTheNodeLeaves)
+{
+    Node upstream;
+    Node node;
+    upstream.read(response(10, {configuration(3, {route("a")})}), Start);
+    node.readAt(upstream, Start);
+    upstream.server.onRequest({&node, 1}, node.request(500), Start, Start);
+    EXPECT_EQ(upstream.server.nextExpiry(), Start + 500ms);
+    EXPECT_TRUE(upstream.server.expire(Start, Start + 499ms).empty());
+    const auto replies = upstream.server.expire(Start + 200ms, Start + 500ms);
+    ASSERT_EQ(replies.size(), 1U);
+    EXPECT_EQ(replies.front().second.ageMs, 300U) << "how old the records are";
+    upstream.server.onRequest({&node, 2}, node.request(500), Start, Start);
+    upstream.server.onRequest({&upstream, 2}, node.request(500), Start, Start);
+    upstream.server.onLinkDown(&upstream);
+    const auto last = upstream.server.beginDrain(Start);
+    ASSERT_EQ(last.size(), 1U);
+    EXPECT_EQ(last.front().second.status, SyncStatus::Leaving);
+}
+
+TEST(SyncTest, UpstreamThatIsBehindRemovesAndAddsNothing)
+{
+    Node behind;
+    Node ahead;
+    behind.read(response(10, {configuration(3, {route("a")}), target("1", 1, 8), target("2", 1, 9)}), Start);
+    ahead.readAt(behind, Start);
+    ahead.read(
+        response(14,
+                 {configuration(4, {route("b")}), TargetRemoved {EndpointId("1"), Revision(12)}, target("3", 1, 13)}),
+        Start);
+    ahead.readAt(behind, Start);
+    EXPECT_EQ(ahead.follower.configuration()->number, TicketNumber(4));
+    EXPECT_EQ(revisionsOf(ahead),
+              (std::map<EndpointId, Revision> {{EndpointId("2"), Revision(9)}, {EndpointId("3"), Revision(13)}}));
+}
+
+// A process that has just started must not use again what has left, if one of its peers still knows it.
+TEST(SyncTest, RestartedNodeFollowsTheNewerOfTwoPeers)
+{
+    Node behind;
+    Node ahead;
+    behind.read(response(10, {configuration(3, {route("a")}), target("1", 1, 8)}), Start);
+    ahead.readAt(behind, Start);
+    ahead.read(response(14, {TargetRemoved {EndpointId("1"), Revision(12)}, target("2", 1, 13)}), Start);
+    Node restarted;
+    restarted.readAt(behind, Start);
+    restarted.readAt(ahead, Start);
+    EXPECT_EQ(revisionsOf(restarted), revisionsOf(ahead));
+    restarted.readAt(behind, Start);
+    EXPECT_EQ(revisionsOf(restarted), revisionsOf(ahead)) << "and does not go back";
+}
+
+TEST(SyncTest, RemovalThatWaitsForItsGracePeriodIsNotLost)
+{
+    Node reader;
+    Node node;
+    reader.read(response(10, {configuration(3, {route("a")}), target("1", 1, 8), target("2", 1, 9)}), Start);
+    RegistryResponse outage;
+    outage.code = ResultCode::RegistryUnreachable;
+    reader.read(outage, Start);
+    reader.read(response(13, {TargetRemoved {EndpointId("1"), Revision(12)}}), Start + 1s);
+    node.readAt(reader, Start + 1s);
+    EXPECT_TRUE(node.follower.targets().contains(EndpointId("1")));
+    const RegistryAction watch = node.follower.next(Start + 1s);
+    EXPECT_LT(std::get<registryaction::Watch>(watch).revision, Revision(12))
+        << "a node that becomes a reader now sees the removal again";
+    reader.follower.expire(Start + 3s);
+    reader.changed(Start + 3s);
+    node.readAt(reader, Start + 3s);
+    EXPECT_FALSE(node.follower.targets().contains(EndpointId("1")));
+}
+
+TEST(SyncTest, MalformedContentIsRefused)
+{
+    EXPECT_THROW(decodeSyncContent("no zstd frame"), ResultError);
+    Node upstream;
+    upstream.read(response(10, {configuration(3, {route("a")}), target("1", 1, 8)}), Start);
+    Node node;
+    const std::string content = node.readAt(upstream, Start).content;
+    EXPECT_THROW(decodeSyncContent(content.substr(0, content.size() / 2)), ResultError);
+}
+
+// Any order of changes in the registry, reads at it and at each other, restarts and outages. No configuration falls,
+// no target that left comes back, and once all have read, all agree.
+RC_GTEST_PROP(SyncProperty, NodesConvergeAndNothingGoesBack, ())
+{
+    constexpr std::size_t Nodes = 4;
+    std::vector<std::unique_ptr<Node>> nodes;
+    for (std::size_t i = 0; i < Nodes; ++i) {
+        nodes.push_back(std::make_unique<Node>());
+    }
+    struct Registry
+    {
+        std::uint64_t revision = 10;
+        std::uint64_t number = 1;
+        std::vector<Route> routes;
+        std::map<std::string, RegisteredTarget> targets;
+        std::map<std::string, std::uint64_t> sequences;
+        std::vector<std::pair<std::uint64_t, RegistryRecord>> history;
+    };
+    Registry registry;
+    TimePoint now = Start;
+    const auto listing = [&registry] {
+        std::vector<RegistryRecord> records {configuration(registry.number, registry.routes)};
+        for (const auto &[id, item] : registry.targets) {
+            records.emplace_back(item);
+        }
+        return response(registry.revision, std::move(records));
+    };
+    const auto readRegistry = [&](Node &node) {
+        node.follower.expire(now);
+        const RegistryAction action = node.follower.next(now + 10s);
+        if (const auto *watch = std::get_if<registryaction::Watch>(&action)) {
+            std::vector<RegistryRecord> records;
+            for (const auto &[revision, record] : registry.history) {
+                if (revision > watch->revision.value()) {
+                    records.push_back(record);
+                }
+            }
+            node.read(response(registry.revision, std::move(records)), now);
+        } else {
+            node.read(listing(), now);
+        }
+    };
+    const int steps = *rc::gen::inRange(10, 60);
+    for (int step = 0; step < steps; ++step) {
+        now += 300ms;
+        const auto kind = *rc::gen::inRange(0, 10);
+        const std::string id = std::to_string(*rc::gen::inRange(0, 5));
+        Node &node = *nodes[*rc::gen::inRange<std::size_t>(0, Nodes)];
+        const auto number = node.follower.configuration() ? node.follower.configuration()->number : TicketNumber(0);
+        const Revision settled = node.follower.settledRevision();
+        bool wasRestarted = false;
+        if (kind == 0) {
+            registry.number += *rc::gen::inRange<std::uint64_t>(1, 4);
+            registry.routes = {route(id), route("r" + std::to_string(step))};
+            registry.history.emplace_back(++registry.revision, configuration(registry.number, registry.routes));
+        } else if (kind <= 2) {
+            ++registry.revision;
+            registry.targets[id] = target(id, ++registry.sequences[id], registry.revision);
+            registry.history.emplace_back(registry.revision, registry.targets[id]);
+        } else if (kind == 3 && registry.targets.erase(id) > 0) {
+            ++registry.revision;
+            registry.history.emplace_back(registry.revision,
+                                          TargetRemoved {EndpointId(id), Revision(registry.revision)});
+        } else if (kind == 4) {
+            const auto position
+                = std::find_if(nodes.begin(), nodes.end(), [&](const auto &item) { return item.get() == &node; });
+            *position = std::make_unique<Node>();
+            wasRestarted = true;
+        } else if (kind == 5) {
+            RegistryResponse failed;
+            failed.code = *rc::gen::element(ResultCode::RegistryUnreachable, ResultCode::RegistryHistoryGone);
+            node.read(std::move(failed), now);
+        } else if (kind <= 7) {
+            readRegistry(node);
+        } else {
+            Node &upstream = *nodes[*rc::gen::inRange<std::size_t>(0, Nodes)];
+            if (&upstream != &node) {
+                node.readAt(upstream, now);
+            }
+        }
+        if (!wasRestarted) {
+            const auto &current = node.follower.configuration();
+            RC_ASSERT((current ? current->number : TicketNumber(0)) >= number);
+            RC_ASSERT(node.follower.settledRevision() >= settled);
+        }
+    }
+    // Grace periods end.
+    now += 10s;
+    readRegistry(*nodes[0]);
+    now += 10s;
+    nodes[0]->follower.expire(now);
+    nodes[0]->changed(now);
+    readRegistry(*nodes[0]);
+    for (std::size_t i = 1; i < Nodes; ++i) {
+        nodes[i]->follower.expire(now);
+        nodes[i]->changed(now);
+        nodes[i]->readAt(*nodes[i - 1], now);
+        nodes[i]->readAt(*nodes[i - 1], now); // the first reply may be a difference to records with another digest
+    }
+    std::map<EndpointId, Revision> expected;
+    for (const auto &[id, item] : registry.targets) {
+        expected.emplace(item.id, item.revision);
+    }
+    for (const auto &node : nodes) {
+        RC_ASSERT(revisionsOf(*node) == expected);
+        RC_ASSERT(routesOf(*node->follower.configuration())
+                  == routesOf(configuration(registry.number, registry.routes)));
+    }
+}
