[settings] Take the time between SIGTERM and SIGKILL from the platform's bounds

A node stopped its loop 4.5 s early, whatever was open. Change: drain.bounds takes the platform's list of bounds, drain.graceBound names the one; without it graceMs holds as before. settingstest.

--- a/unittests/settings/settingstest.cpp
+++ b/unittests/settings/settingstest.cpp
@@ -41,6 +41,23 @@
     EXPECT_EQ(settings.calls.defaultDeadline, CallSettings().defaultDeadline);
 }
 
+// Platforms differ in how long they let a process end.
+TEST(Settings, TakesTheGracePeriodFromThePlatformsBounds)
+{
+    nlohmann::json json = minimalSettings();
+    json["drain"]
+        = {{"graceMs", 5'500}, {"bounds", "seed-lag-s=3,grace-s=10,loss-slack-ms=200"}, {"graceBound", "grace-s"}};
+    EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(9'500));
+    json["drain"]["bounds"] = "grace-s=0.6";
+    EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(300)) << "time to work is left";
+    for (const char *absent : {"", "grace-s", "grace-s=", "grace-s=x", "other-grace-s=9,grace=7"}) {
+        json["drain"]["bounds"] = absent;
+        EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(5'500)) << absent;
+    }
+    json["drain"]["bounds"] = "grace-s=-1";
+    EXPECT_EQ(refusalOf(json.dump()).first, ResultCode::SettingsOutOfRange);
+}
+
 struct InvalidValue
 {
     const char *path; ///< where the value is set; the error must name the same path
