[registry] Read at later hosts while the registry fails; status and metrics of the upstream

A reader whose watch was silent or refused learned nothing until the registry served it again. A peer that cannot hold a request is not asked again at once. /v1/status shows where the records are read, the candidates and the age; gauges reader and records_age_seconds.

--- a/include/jasminemast/node/controlplane.h
+++ b/include/jasminemast/node/controlplane.h
@@ -44,6 +44,16 @@
     [[nodiscard]] virtual TicketNumber acceptedNumber() const = 0;
     /// True while this node reads configuration from the platform itself.
     [[nodiscard]] virtual bool isReader() const = 0;
+    /// Where the records of a registry are read, for operators; null without a registry.
+    [[nodiscard]] virtual nlohmann::json upstream(TimePoint /*now*/) const
+    {
+        return nullptr;
+    }
+    /// Time since the records in force were last confirmed; 0 without a registry.
+    [[nodiscard]] virtual Duration recordsAge(TimePoint /*now*/) const
+    {
+        return Duration(0);
+    }
     /// Status of each availability zone, for operators.
     [[nodiscard]] virtual nlohmann::json zones(TimePoint now) const = 0;
 };
--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -51,6 +51,11 @@
     {
         return !m_upstream;
     }
+    [[nodiscard]] nlohmann::json upstream(TimePoint now) const override;
+    [[nodiscard]] Duration recordsAge(TimePoint now) const override
+    {
+        return now - m_confirmedAt;
+    }
     [[nodiscard]] nlohmann::json zones(TimePoint now) const override;
 
 private:
@@ -94,6 +99,7 @@
     TimePoint m_discoverAt; ///< earliest time of the next page
     bool m_isDiscovering = true;
     bool m_isPeerRequest = false; ///< the request in progress goes to a peer
+    TimePoint m_peerRequestedAt;
     TimePoint m_confirmedAt; ///< when the registry last confirmed the records
     std::uint64_t m_passedOnChanges = 0; ///< value of m_follower.changes() that peers were told about
     bool m_passedOnListing = false;
--- a/include/jasminemast/registry/upstreamselector.h
+++ b/include/jasminemast/registry/upstreamselector.h
@@ -44,6 +44,9 @@
     void setPeers(std::vector<RegistryPeer> peers);
     /// The host to read at; nothing: the registry.
     [[nodiscard]] std::optional<HostId> choose(TimePoint now) const;
+    /// The host to read at while the registry fails: also hosts that come after this node, which may be at this node in
+    /// turn, so that their records must be as recent as they say.
+    [[nodiscard]] std::optional<HostId> chooseFallback(TimePoint now) const;
     /// Does not choose \p host before \p until.
     void exclude(const HostId &host, TimePoint until);
     /// When an excluded candidate can be chosen again; TimePoint::max() if none is excluded.
@@ -61,6 +64,7 @@
     }
 
 private:
+    [[nodiscard]] std::optional<HostId> firstAvailable(const std::vector<HostId> &hosts, TimePoint now) const;
     void findZoneCandidates(const std::vector<HostId> &order);
     void findRegionCandidates();
     [[nodiscard]] std::vector<HostId> hostsOf(const ZoneId &zone) const;
@@ -69,6 +73,7 @@
     UpstreamLimits m_limits;
     std::vector<RegistryPeer> m_peers; ///< sorted
     std::vector<HostId> m_candidates;
+    std::vector<HostId> m_fallbacks; ///< the hosts after this node
     std::map<HostId, TimePoint> m_excludedUntil;
     std::size_t m_rank = 0;
 };
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -257,6 +257,8 @@
 {
     m_metrics.set(Gauge::TicketInForce, static_cast<double>(m_control.current()->number.value()));
     m_metrics.set(Gauge::Ready, m_control.isReady() ? 1 : 0);
+    m_metrics.set(Gauge::Reader, m_control.isReader() ? 1 : 0);
+    m_metrics.set(Gauge::RecordsAge, std::chrono::duration<double>(m_control.recordsAge(m_clock.now())).count());
     m_metrics.set(Gauge::LinksOpen, static_cast<double>(m_links.size()));
     m_metrics.set(Gauge::CallsOpen, static_cast<double>(m_entryProxy.openCalls()));
     m_metrics.set(Gauge::AttemptsRunning, static_cast<double>(m_targetProxy.core().accepted()));
--- a/lib/node/operatorapi.cpp
+++ b/lib/node/operatorapi.cpp
@@ -77,6 +77,9 @@
     json["degraded"] = m_control.readiness() == Readiness::Degraded;
     json["acceptedNumber"] = m_control.acceptedNumber().value();
     json["reader"] = m_control.isReader();
+    if (auto upstream = m_control.upstream(m_clock.now()); !upstream.is_null()) {
+        json["upstream"] = std::move(upstream);
+    }
     return dumpJson(json);
 }
 
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -17,6 +17,8 @@
 /// How long a peer may wait for changes, and when a reply is overdue.
 constexpr Milliseconds PeerWait {500};
 constexpr Milliseconds PeerTimeout {1'000};
+/// Delay after a reply that came early and held nothing new.
+constexpr Milliseconds PeerRepeatDelay {250};
 /// Age from which records are read at another node. A reader confirms them about every 1.4 s.
 constexpr Milliseconds MaxPeerAge {1'900};
 /// The first nodes of a zone turn to the registry before the others, who can then read at them.
@@ -134,6 +136,18 @@
     return hasConfiguration && !m_draining ? Readiness::Ready : Readiness::Joining;
 }
 
+nlohmann::json RegistryTask::upstream(TimePoint now) const
+{
+    auto candidates = nlohmann::json::array();
+    for (const HostId &host : m_upstreams.candidates()) {
+        candidates.push_back(host.value());
+    }
+    return {{"readsAt", m_upstream ? m_upstream->value() : "registry"},
+            {"candidates", std::move(candidates)},
+            {"rank", m_upstreams.rank()},
+            {"ageMs", std::chrono::duration_cast<Milliseconds>(recordsAge(now)).count()}};
+}
+
 nlohmann::json RegistryTask::zones(TimePoint /*now*/) const
 {
     // Nodes with a registry do not exchange their status.
@@ -167,6 +181,11 @@
         requestFromPeer(*host);
         return;
     }
+    const auto fallback = wait != nullptr && areRecordsOld(now) ? m_upstreams.chooseFallback(now) : std::nullopt;
+    if (fallback) {
+        requestFromPeer(*fallback);
+        return;
+    }
     if (wait != nullptr) {
         m_nextRequestTimer.start(std::min(wait->until, m_upstreams.nextAvailable(now)) - now);
         return;
@@ -220,6 +239,7 @@
     request.targetsDigest = m_follower.targetsDigest();
     request.waitMs = m_isDiscovering ? 0 : static_cast<std::uint32_t>(PeerWait.count());
     const TimePoint now = m_clock.now();
+    m_peerRequestedAt = now;
     // Stops waiting for the peer once the records are old.
     m_nextRequestTimer.start(std::max(Duration(0), m_confirmedAt + maxAge() - now));
     m_peers.request(host, SocketAddress {host.value(), m_settings.linkPort}, request, PeerTimeout,
@@ -231,7 +251,13 @@
     m_requestPending = false;
     const TimePoint now = m_clock.now();
     if (reply && reply->status == SyncStatus::Ok) {
+        const std::uint64_t changes = m_follower.changes();
         applyReply(host, *reply);
+        if (m_follower.changes() == changes && now - m_peerRequestedAt < PeerWait / 2) {
+            // The peer has too many waiting requests to hold another one.
+            m_nextRequestTimer.start(PeerRepeatDelay);
+            return;
+        }
     } else if (reply && reply->status == SyncStatus::NotListed && !m_isDiscovering) {
         m_upstreams.exclude(host, now + OldPeerExclusion);
     } else {
--- a/lib/registry/upstreamselector.cpp
+++ b/lib/registry/upstreamselector.cpp
@@ -50,6 +50,9 @@
     std::erase(order, m_self.host);
     m_rank = rendezvousRank(roleOf(m_self.zone.value()), order, m_self.host);
     order.insert(order.begin() + static_cast<std::ptrdiff_t>(m_rank), m_self.host);
+    const auto after = order.begin() + static_cast<std::ptrdiff_t>(m_rank) + 1;
+    const auto count = std::min<std::ptrdiff_t>(order.end() - after, static_cast<std::ptrdiff_t>(m_limits.standbys));
+    m_fallbacks.assign(after, after + count);
     if (m_rank > 0) {
         findZoneCandidates(order);
     } else {
@@ -94,7 +97,17 @@
 
 std::optional<HostId> UpstreamSelector::choose(TimePoint now) const
 {
-    for (const HostId &host : m_candidates) {
+    return firstAvailable(m_candidates, now);
+}
+
+std::optional<HostId> UpstreamSelector::chooseFallback(TimePoint now) const
+{
+    return firstAvailable(m_fallbacks, now);
+}
+
+std::optional<HostId> UpstreamSelector::firstAvailable(const std::vector<HostId> &hosts, TimePoint now) const
+{
+    for (const HostId &host : hosts) {
         const auto excluded = m_excludedUntil.find(host);
         if (excluded == m_excludedUntil.end() || excluded->second <= now) {
             return host;
@@ -106,7 +119,8 @@
 void UpstreamSelector::exclude(const HostId &host, TimePoint until)
 {
     std::erase_if(m_excludedUntil, [this](const auto &item) {
-        return std::find(m_candidates.begin(), m_candidates.end(), item.first) == m_candidates.end();
+        return std::find(m_candidates.begin(), m_candidates.end(), item.first) == m_candidates.end()
+            && std::find(m_fallbacks.begin(), m_fallbacks.end(), item.first) == m_fallbacks.end();
     });
     m_excludedUntil.insert_or_assign(host, until);
 }
