--- a/include/jasminemast/support/archive.h
+++ b/include/jasminemast/support/archive.h
@@ -14,6 +14,7 @@
 #include <cereal/types/vector.hpp>
 
 #include <bit>
+#include <cstdint>
 #include <cstring>
 #include <string>
 #include <string_view>
@@ -81,7 +82,16 @@
 template<class T>
 std::enable_if_t<std::is_arithmetic_v<T>> CEREAL_LOAD_FUNCTION_NAME(DecodeArchive &archive, T &value)
 {
-    archive.readBytes(std::addressof(value), sizeof(value));
+    if constexpr (std::is_same_v<T, bool>) {
+        std::uint8_t byte = 0;
+        archive.readBytes(std::addressof(byte), sizeof(byte));
+        if (byte > 1) {
+            throw cereal::Exception("neither true nor false");
+        }
+        value = byte == 1;
+    } else {
+        archive.readBytes(std::addressof(value), sizeof(value));
+    }
 }
 
 template<class T>
--- a/lib/net/targetclient.cpp
+++ b/lib/net/targetclient.cpp
@@ -112,7 +112,7 @@
     const Milliseconds maxIdleTime = request.atMostOnce ? m_limits.maxIdleTimeAtMostOnce : m_limits.maxIdleTime;
     const TimePoint now = m_clock.now();
     for (auto position = m_idle.rbegin(); position != m_idle.rend(); ++position) {
-        const auto connection = *position;
+        auto connection = *position;
         if (connection->address() != request.address || !connection->canBeUsed(now, maxIdleTime)) {
             continue;
         }
--- a/lib/registry/syncmessages.cpp
+++ b/lib/registry/syncmessages.cpp
@@ -13,6 +13,7 @@
 namespace
 {
 
+constexpr std::int64_t MaxMilliseconds = 86'400'000; // one day
 constexpr std::size_t MaxContentBytes = 32U << 20U; // of an uncompressed message
 
 template<class Archive>
@@ -20,6 +21,9 @@
 {
     auto count = static_cast<std::int64_t>(time.count());
     archive(count);
+    if (count < 0 || count > MaxMilliseconds) {
+        throw cereal::Exception("time out of range");
+    }
     time = Milliseconds(count);
 }
 
--- a/unittests/support/archivetest.cpp
+++ b/unittests/support/archivetest.cpp
@@ -114,5 +114,17 @@
     EXPECT_EQ(CountedElement::s_constructed, 1);
 }
 
+// Found by syncfuzzer: any other byte in a bool is undefined behavior.
+TEST(Archive, RefusesFlagThatIsNeitherTrueNorFalse)
+{
+    std::string bytes = encodeMessage(sample());
+    for (const char byte : {'\2', '\xff'}) {
+        bytes.back() = byte;
+        EXPECT_THROW(decodeMessage<SampleMessage>(bytes, ResultCode::FrameMalformed), ResultError);
+    }
+    bytes.back() = '\1';
+    EXPECT_TRUE(decodeMessage<SampleMessage>(bytes, ResultCode::FrameMalformed).flag);
+}
+
 } // namespace
 } // namespace jasminemast
