--- a/include/jasminemast/settings/jsonreader.h
+++ b/include/jasminemast/settings/jsonreader.h
@@ -47,8 +47,6 @@
     /// \throws ResultError with SettingsMissing, SettingsWrongType or SettingsOutOfRange.
     std::string string(const char *key);
     std::string string(const char *key, const std::string &fallback);
-    /// An optional string that may be long or empty.
-    std::string text(const char *key);
     std::uint64_t number(const char *key, std::uint64_t min, std::uint64_t max);
     std::uint64_t number(const char *key, std::uint64_t min, std::uint64_t max, std::uint64_t fallback);
     double real(const char *key, double min, double max, double fallback);
