--- a/lib/net/responseparser.cpp
+++ b/lib/net/responseparser.cpp
@@ -3,6 +3,10 @@
 
 #include "jasminemast/support/result.h"
 
+#if defined(__GNUC__) && !defined(__clang__)
+// With the sanitizers, GCC 12 takes an empty boost::optional in the headers for uninitialized.
+#pragma GCC diagnostic ignored "-Wmaybe-uninitialized"
+#endif
 #include <boost/beast/http/basic_parser.hpp>
 
 #include <limits>
