[node] Log calls that the exit of a node cuts, and responses that are dropped unsent

The exit of a draining node said nothing about its open calls, and a target's node nothing about responses that it dropped after their target had finished them, so that no log could tell where a lost response had been.

--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -132,6 +132,8 @@
         return m_calls.size();
     }
     [[nodiscard]] std::optional<TimePoint> earliestDeadline() const;
+    /// The deadline of the open call \p call.
+    [[nodiscard]] TimePoint deadlineOf(const CallId &call) const;
 
 private:
     /// The latest attempt of a call.
--- a/include/jasminemast/net/httpexchange.h
+++ b/include/jasminemast/net/httpexchange.h
@@ -59,6 +59,11 @@
     {
         m_onCancelled = std::move(handler);
     }
+    /// Body bytes that were written and not yet sent to the caller.
+    [[nodiscard]] std::size_t unsentBytes() const
+    {
+        return m_body.size() - m_bodyOffset;
+    }
     /// True once the caller has disconnected or the response is complete; later calls have no effect.
     [[nodiscard]] bool isOver() const
     {
--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -73,8 +73,8 @@
     /// Queues a frame behind the earlier bulk frames of \p stream only. \p priority is that of the stream from this
     /// frame on; it is used only if the rate of the host's uplink is configured.
     void sendBulk(StreamId stream, FrameType type, std::string_view payload, const BulkPriority &priority = {});
-    /// Drops the bulk frames of \p stream that are still queued.
-    void dropBulk(StreamId stream);
+    /// Drops the bulk frames of \p stream that are still queued and returns their bytes.
+    std::size_t dropBulk(StreamId stream);
 
     /// True if an admitted bulk frame would be written soon, because no earlier write is blocked.
     [[nodiscard]] bool canSendBulk() const;
@@ -116,6 +116,11 @@
         return m_writeOffset < m_writeBatch.size() || !m_urgentFrames.empty() || !m_admittedBulk.empty()
             || !m_bulkFrames.empty();
     }
+    /// Bytes of bulk frames that were still queued when the link was closed.
+    [[nodiscard]] std::size_t lostBulkBytes() const
+    {
+        return m_lostBulkBytes;
+    }
     [[nodiscard]] bool isRetained() const
     {
         return m_retainCount > 0;
@@ -186,6 +191,7 @@
     std::deque<std::string> m_urgentFrames;
     std::string m_admittedBulk; ///< bulk frames that the pacer has admitted
     std::map<StreamId, std::deque<std::string>> m_bulkFrames; ///< invariant: no deque is empty
+    std::size_t m_lostBulkBytes = 0;
     StreamId m_lastServedStream; ///< the round robin continues after this stream
 };
 
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -48,6 +48,15 @@
     TimePoint softDeadline; ///< as in CallSpec
 };
 
+/// How far the response to a call has come.
+struct ResponseProgress
+{
+    bool isStarted = false; ///< the head was forwarded
+    std::uint64_t received = 0; ///< body bytes that have arrived on this node
+    std::uint64_t unsent = 0; ///< of these, the bytes not yet sent to the caller
+    std::optional<std::uint64_t> length; ///< of the body, when known
+};
+
 /// The request of one call and the response to it.
 class EntryCall
 {
@@ -72,6 +81,7 @@
     {
         return m_times.softDeadline;
     }
+    [[nodiscard]] ResponseProgress progress() const;
     [[nodiscard]] HttpExchange &exchange() const
     {
         return *m_exchange;
@@ -93,7 +103,7 @@
     const CallHeaders &m_headers;
     EntryTimes m_times;
     std::shared_ptr<AttemptHandle> m_handle; ///< attempt in progress
-    bool m_headSent = false;
+    ResponseProgress m_progress; ///< without the unsent bytes, which the exchange knows
 };
 
 /// Responds to a call for which no target's response can be forwarded.
--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -57,6 +57,9 @@
         m_draining = true;
     }
 
+    /// Logs each call that has no complete response, before the exit of the node cuts it.
+    void logOpenCalls() const;
+
     /// Number of calls without a complete response.
     [[nodiscard]] std::size_t openCalls() const
     {
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -433,6 +433,11 @@
     return actions;
 }
 
+TimePoint EntryCore::deadlineOf(const CallId &call) const
+{
+    return m_calls.at(call).spec.deadline;
+}
+
 std::optional<TimePoint> EntryCore::earliestDeadline() const
 {
     return m_deadlines.empty() ? std::nullopt : std::optional(m_deadlines.begin()->first);
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -162,12 +162,14 @@
     }
 }
 
-void Link::dropBulk(StreamId stream)
+std::size_t Link::dropBulk(StreamId stream)
 {
+    std::size_t bytes = 0;
     while (hasBulk(stream)) {
-        popBulkFrame(stream);
+        bytes += popBulkFrame(stream).size();
     }
     m_pacer.remove(*this, stream);
+    return bytes;
 }
 
 bool Link::canSendBulk() const
@@ -196,7 +198,7 @@
     m_urgentFrames.clear();
     m_admittedBulk.clear();
     while (!m_bulkFrames.empty()) {
-        popBulkFrame(m_bulkFrames.begin()->first);
+        m_lostBulkBytes += popBulkFrame(m_bulkFrames.begin()->first).size();
     }
     m_pacer.removeLink(*this);
     m_loop.post([self = shared_from_this(), reason] { self->m_handlers.onDown(self, reason); });
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -2,12 +2,28 @@
 #include "jasminemast/node/callserver.h"
 
 #include "jasminemast/net/linkreference.h"
+#include "jasminemast/support/events.h"
 
 #include <algorithm>
 
 namespace jasminemast
 {
 
+namespace
+{
+
+void logDroppedResponses(const Link &link, ResultCode code, std::size_t bytes)
+{
+    if (bytes == 0) {
+        return;
+    }
+    logEvent(
+        Event::ResponsesDropped,
+        {{"peer", link.peer().host.value()}, {"code", std::to_string(number(code))}, {"bytes", std::to_string(bytes)}});
+}
+
+} // namespace
+
 /// One attempt from another node. Retains its link while it exists.
 struct CallServer::Stream : LinkReference
 {
@@ -137,7 +153,7 @@
     if (found->second->attempt) {
         found->second->attempt->cancel(ResultCode::CallWithdrawn);
     }
-    link->dropBulk(StreamId(message.stream));
+    logDroppedResponses(*link, ResultCode::CallWithdrawn, link->dropBulk(StreamId(message.stream)));
     m_streams.erase(found);
 }
 
@@ -210,6 +226,9 @@
 
 void CallServer::onLinkDown(const std::shared_ptr<Link> &link)
 {
+    if (!link->isOutgoing()) {
+        logDroppedResponses(*link, ResultCode::LinkLost, link->lostBulkBytes());
+    }
     auto position = m_streams.lower_bound({link.get(), 0});
     while (position != m_streams.end() && position->first.first == link.get()) {
         Stream &stream = *position->second;
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -176,6 +176,13 @@
     return id == nullptr ? std::string() : *id;
 }
 
+ResponseProgress EntryCall::progress() const
+{
+    ResponseProgress progress = m_progress;
+    progress.unsent = m_exchange->unsentBytes();
+    return progress;
+}
+
 void EntryCall::setHandle(std::unique_ptr<AttemptHandle> handle)
 {
     m_handle = std::move(handle);
@@ -202,7 +209,8 @@
     if (closeConnection) {
         headers.push_back({"Connection", "close"});
     }
-    m_headSent = true;
+    m_progress.isStarted = true;
+    m_progress.length = head.length;
     m_exchange->setBytesSentHandler([handle = std::weak_ptr(m_handle)](std::size_t bytes) {
         if (const auto attempt = handle.lock()) {
             attempt->credit(bytes);
@@ -213,6 +221,7 @@
 
 void EntryCall::forwardData(std::string_view bytes)
 {
+    m_progress.received += bytes.size();
     m_exchange->write(bytes);
 }
 
@@ -224,7 +233,7 @@
         return;
     }
     m_exchange->setBytesSentHandler(nullptr);
-    if (m_headSent) {
+    if (m_progress.isStarted) {
         m_exchange->abort();
         return;
     }
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -34,6 +34,21 @@
     return limits;
 }
 
+/// Logs \p call, which ends without a complete response; \p reason is one further field.
+void logIncompleteCall(Event event, const EntryCall &call, TimePoint now, const EventField &reason)
+{
+    const auto since = std::chrono::duration_cast<Milliseconds>(now - call.arrivedAt());
+    const ResponseProgress progress = call.progress();
+    logEvent(event,
+             {{"request", call.requestId()},
+              reason,
+              {"ms", std::to_string(since.count())},
+              {"response", progress.isStarted ? "started" : "none"},
+              {"received", std::to_string(progress.received)},
+              {"unsent", std::to_string(progress.unsent)},
+              {"length", progress.length ? std::to_string(*progress.length) : "unknown"}});
+}
+
 } // namespace
 
 /// Reports the replies to one attempt to the core, and forwards the response to the caller while the core awaits it.
@@ -338,15 +353,20 @@
         m_context.metrics.observe(Summary::CallDuration, now - call->arrivedAt());
     }
     if (end.outcome == Outcome::Unknown && end.code != ResultCode::CallerGone) {
-        const auto since = std::chrono::duration_cast<Milliseconds>(now - call->arrivedAt());
-        logEvent(Event::CallUnknown,
-                 {{"request", call->requestId()},
-                  {"code", std::to_string(number(end.code))},
-                  {"ms", std::to_string(since.count())}});
+        logIncompleteCall(Event::CallUnknown, *call, now, {"code", std::to_string(number(end.code))});
     }
     call->finish(end.outcome, end.code, failureHeaders(call->softDeadline()));
 }
 
+void EntryProxy::logOpenCalls() const
+{
+    const TimePoint now = m_context.clock.now();
+    for (const auto &[id, call] : m_calls) {
+        const auto left = std::chrono::duration_cast<Milliseconds>(m_core.deadlineOf(id) - now);
+        logIncompleteCall(Event::CallCutByExit, *call, now, {"leftMs", std::to_string(left.count())});
+    }
+}
+
 FailureHeaders EntryProxy::failureHeaders(TimePoint softDeadline)
 {
     const bool isBeforeSoftDeadline = m_context.clock.now() < softDeadline;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -214,6 +214,7 @@
     const Duration since = m_clock.now() - m_drainStartedAt;
     const DrainSettings &drain = m_settings.drain;
     if (drain.grace.count() > 0 && since >= drain.grace) {
+        m_entryProxy.logOpenCalls();
         m_loop.stop();
         return;
     }
