[node] Log errors of lost links, and bytes that an exiting node has sent but its peers have not

A link that a peer's reset closed looked like one that its peer ended, and the exit of a node said nothing about responses that were still in its kernel. No behaviour changes.

--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -121,6 +121,14 @@
     {
         return m_lostBulkBytes;
     }
+    /// Bytes that the kernel has taken over and the peer has not acknowledged; they are lost if the connection is
+    /// reset.
+    [[nodiscard]] std::size_t unacknowledgedBytes() const;
+    /// The error number of the failed transfer that closed the link; 0 if the peer ended the connection, or this end.
+    [[nodiscard]] int socketError() const
+    {
+        return m_socketError;
+    }
     [[nodiscard]] bool isRetained() const
     {
         return m_retainCount > 0;
@@ -192,6 +200,7 @@
     std::string m_admittedBulk; ///< bulk frames that the pacer has admitted
     std::map<StreamId, std::deque<std::string>> m_bulkFrames; ///< invariant: no deque is empty
     std::size_t m_lostBulkBytes = 0;
+    int m_socketError = 0;
     StreamId m_lastServedStream; ///< the round robin continues after this stream
 };
 
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -41,6 +41,9 @@
     /// True while a link that is up has frames to write.
     [[nodiscard]] bool hasPending() const;
 
+    /// Bytes on all links that the kernel has taken over and the peers have not acknowledged.
+    [[nodiscard]] std::size_t unacknowledgedBytes() const;
+
     /// Accounts for \p bytes that the host sent over its network uplink outside of these links.
     void addUnscheduledBytes(std::size_t bytes)
     {
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -3,7 +3,9 @@
 
 #include "jasminemast/support/archive.h"
 
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <array>
@@ -204,6 +206,13 @@
     m_loop.post([self = shared_from_this(), reason] { self->m_handlers.onDown(self, reason); });
 }
 
+std::size_t Link::unacknowledgedBytes() const
+{
+    int bytes = 0;
+    const bool isKnown = m_socket.isOpen() && ::ioctl(m_socket.get(), SIOCOUTQ, &bytes) == 0;
+    return isKnown ? static_cast<std::size_t>(bytes) : 0;
+}
+
 void Link::retain()
 {
     ++m_retainCount;
@@ -258,6 +267,7 @@
     socklen_t size = sizeof(error);
     ::getsockopt(m_socket.get(), SOL_SOCKET, SO_ERROR, &error, &size);
     if (error != 0) {
+        m_socketError = error;
         close(error == ECONNREFUSED ? ResultCode::LinkRefused : ResultCode::LinkLost);
         return;
     }
@@ -273,6 +283,7 @@
             return;
         }
         if (size <= 0) {
+            m_socketError = size < 0 ? errno : 0;
             close(ResultCode::LinkLost);
             return;
         }
@@ -421,6 +432,7 @@
             return;
         }
         if (size < 0) {
+            m_socketError = errno;
             close(ResultCode::LinkLost);
             return;
         }
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <cerrno>
 #include <cstring>
+#include <numeric>
 #include <vector>
 
 namespace jasminemast
@@ -78,6 +79,12 @@
                        [](const auto &link) { return link->isUp() && link->hasPending(); });
 }
 
+std::size_t LinkPool::unacknowledgedBytes() const
+{
+    return std::accumulate(m_links.begin(), m_links.end(), std::size_t {0},
+                           [](std::size_t bytes, const auto &link) { return bytes + link->unacknowledgedBytes(); });
+}
+
 std::shared_ptr<Link> LinkPool::makeLink()
 {
     Link::Handlers handlers = m_handlers;
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -147,7 +147,10 @@
               {"zone", m_settings.self.zone.value()},
               {"incarnation", std::to_string(m_incarnation.value())}});
     m_loop.run();
-    logEvent(Event::NodeStopped, {{"host", m_settings.self.host.value()}});
+    logEvent(Event::NodeStopped,
+             {{"host", m_settings.self.host.value()},
+              {"queued", std::to_string(m_links.queuedBytes())},
+              {"unacknowledged", std::to_string(m_links.unacknowledgedBytes())}});
 }
 
 Link::Handlers Node::linkHandlers()
@@ -191,7 +194,10 @@
 void Node::onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason)
 {
     m_metrics.count(Counter::LinksDown, reason);
-    logEvent(Event::LinkDown, {{"peer", link->peer().host.value()}, {"reason", std::to_string(number(reason))}});
+    logEvent(Event::LinkDown,
+             {{"peer", link->peer().host.value()},
+              {"reason", std::to_string(number(reason))},
+              {"error", std::to_string(link->socketError())}});
     m_control.onLinkDown(link);
     m_callClient.onLinkDown(link);
     m_callServer.onLinkDown(link);
