--- /dev/null
+++ b/unittests/node/drainfaulttest.cpp
@@ -0,0 +1,138 @@
+// Calls that are open when their entry node gets SIGTERM. Each must end with a complete response from the node.
+#include "fleet.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <csignal>
+
+using namespace jasminemast;
+using namespace jasminemast::fleet;
+
+namespace
+{
+
+constexpr std::size_t EntryHost = 0;
+constexpr std::size_t TargetHost = 1;
+constexpr std::size_t OtherEntryHost = 2;
+/// Far behind the exit of the entry node, however slow the machine is.
+constexpr Milliseconds LateDeadline {60'000};
+constexpr unsigned StatusOk = 200;
+constexpr unsigned StatusBadGateway = 502;
+constexpr unsigned StatusUnavailable = 503;
+constexpr unsigned StatusGatewayTimeout = 504;
+constexpr const char *ShortGraceSettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 100, "graceMs": 1500, "killMarginMs": 40000},
+    "calls": {"defaultDeadlineMs": 60000}
+})";
+constexpr const char *LongGraceSettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 100, "graceMs": 4000, "killMarginMs": 40000},
+    "calls": {"defaultDeadlineMs": 60000}
+})";
+constexpr const char *LateDeadlineSettings = R"({"calls": {"defaultDeadlineMs": 60000}})";
+constexpr const char *SlowUplinkSettings = R"({"links": {"megabitsPerSecond": 8}})";
+const std::vector<std::string> NoViolation;
+
+/// A call at the node of \p entryHost to the target of TargetHost.
+CallPlan callTo(std::size_t entryHost, std::size_t paddingBytes)
+{
+    CallPlan plan;
+    plan.entryHost = entryHost;
+    plan.targetHost = TargetHost;
+    plan.repeatable = false;
+    plan.paddingBytes = paddingBytes;
+    plan.deadline = LateDeadline;
+    return plan;
+}
+
+/// Starts calls until the response to one waits at the target's node while \p overtaking later calls end. Returns its
+/// key.
+std::string startWaitingDownload(Fleet &fleet, std::size_t paddingBytes, std::size_t overtaking)
+{
+    while (true) {
+        std::string key = fleet.startCall(callTo(EntryHost, paddingBytes));
+        fleet.awaitState([&] { return fleet.runsOf(key) == 1; });
+        const std::size_t before = fleet.records().size();
+        fleet.awaitState([&] { return fleet.records().size() >= before + overtaking; });
+        if (fleet.findRecord(key) == nullptr) {
+            return key;
+        }
+    }
+}
+
+/// Sends SIGTERM to the entry node and waits for its exit and for the end of the call \p key.
+void drainEntryNode(Fleet &fleet, const std::string &key)
+{
+    fleet.signalNode(EntryHost, SIGTERM);
+    EXPECT_EQ(fleet.waitForNode(EntryHost), 0);
+    fleet.awaitState([&] { return fleet.findRecord(key) != nullptr; });
+}
+
+} // namespace
+
+// A caller whose connection is closed can't tell whether its call ran, and has nothing to act on.
+TEST(DrainFaultTest, CallsThatOutlastTheGraceAreAnsweredBeforeTheExit)
+{
+    Fleet fleet(2, FleetOptions {.targetSlots = 1, .settings = {{EntryHost, ShortGraceSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.withholdResponses(TargetHost);
+    const std::string key = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.runsOf(key) == 1; });
+
+    drainEntryNode(fleet, key);
+
+    const CallRecord &record = *fleet.findRecord(key);
+    EXPECT_THAT(record.status, testing::AnyOf(StatusBadGateway, StatusGatewayTimeout));
+    EXPECT_EQ(record.outcome, "unknown");
+    EXPECT_EQ(fleet.runsOf(key), 1U);
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
+
+// A caller that isn't told that its call never ran can't safely repeat it.
+TEST(DrainFaultTest, QueuedCallsThatOutlastTheGraceAreReportedAsNotRun)
+{
+    Fleet fleet(3,
+                FleetOptions {.targetSlots = 1,
+                              .settings = {{EntryHost, ShortGraceSettings}, {OtherEntryHost, LateDeadlineSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.withholdResponses(TargetHost);
+    // From another node, so that the drain doesn't free the slot.
+    const std::string occupant = fleet.startCall(callTo(OtherEntryHost, 0));
+    fleet.awaitState([&] { return fleet.runsOf(occupant) == 1; });
+    const std::string key = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.acceptedAt(TargetHost) == 2; });
+
+    drainEntryNode(fleet, key);
+
+    const CallRecord &record = *fleet.findRecord(key);
+    EXPECT_EQ(record.status, StatusUnavailable);
+    EXPECT_EQ(record.outcome, "not-run");
+    EXPECT_EQ(fleet.runsOf(key), 0U);
+    EXPECT_EQ(fleet.findRecord(occupant), nullptr);
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
+
+// Short responses to others must not use up the grace of a draining node while a response to it waits at its target.
+TEST(DrainFaultTest, ShortResponsesToOthersDoNotStarveTheResponseToADrainingNode)
+{
+    constexpr std::size_t ShortBytes = 20'000;
+    constexpr std::size_t LongBytes = 350'000;
+    constexpr std::size_t ConcurrentCalls = 64; // their responses fill the slow uplink for longer than a second
+    Fleet fleet(3,
+                FleetOptions {.targetSlots = 2 * ConcurrentCalls,
+                              .settings = {{EntryHost, LongGraceSettings},
+                                           {TargetHost, SlowUplinkSettings},
+                                           {OtherEntryHost, LateDeadlineSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.keepCalling(callTo(OtherEntryHost, ShortBytes), ConcurrentCalls);
+    fleet.awaitState([&] { return fleet.records().size() >= ConcurrentCalls; });
+    const std::string key = startWaitingDownload(fleet, LongBytes, ConcurrentCalls);
+
+    drainEntryNode(fleet, key);
+    fleet.finishCalls();
+
+    const CallRecord &record = *fleet.findRecord(key);
+    EXPECT_EQ(record.status, StatusOk);
+    EXPECT_EQ(record.body.size(), responseFor(key, LongBytes).size());
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -1,4 +1,4 @@
-// Node processes, stand-ins and the check of the records.
+// Node processes, and the stand-ins for platform and targets.
 #include "fleet.h"
 
 #include "jasminemast/config/ticket.h"
@@ -25,14 +25,13 @@
 constexpr std::uint16_t LinkPort = 7002;
 constexpr std::uint16_t TargetPort = 7003;
 constexpr std::uint16_t PlatformPort = 7004;
-constexpr std::size_t TargetSlots = 12;
-constexpr std::size_t ConcurrentCalls = 24;
-constexpr std::size_t ResponsePaddingBytes = 2'000;
 constexpr int MaxReadyPolls = 200;
 constexpr int NeverReady = -1000; ///< recorded as an exit status if the restarted node does not become ready
 constexpr Milliseconds ReadyPollInterval {50};
+constexpr Milliseconds StatePollInterval {10};
 constexpr Milliseconds LongPollTime {5'000};
 constexpr std::uint64_t MaxServiceMs = 20;
+constexpr std::uint64_t MaxTimeoutMs = 600'000; ///< the longest that a route may have
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
 
@@ -41,17 +40,13 @@
     return "h" + std::to_string(host);
 }
 
-std::string responseFor(const std::string &key)
-{
-    return key + ":" + std::string(ResponsePaddingBytes, 'x');
-}
-
 } // namespace
 
-Fleet::Fleet(std::size_t hosts)
+Fleet::Fleet(std::size_t hosts, FleetOptions options)
     : m_addressPrefix("127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 256)
                       + ".")
     , m_directory(std::filesystem::temp_directory_path() / ("jasminemast-fleet-" + std::to_string(::getpid())))
+    , m_options(std::move(options))
     , m_nodes(hosts, 0)
 {
     std::filesystem::create_directories(m_directory);
@@ -85,6 +80,11 @@
     return m_addressPrefix + std::to_string(host + 1);
 }
 
+std::string Fleet::callerUrl(std::size_t host) const
+{
+    return "http://" + address(host) + ":" + std::to_string(CallerPort);
+}
+
 void Fleet::publishConfiguration()
 {
     nlohmann::json ticket;
@@ -95,7 +95,9 @@
     for (std::size_t host = 0; host < m_nodes.size(); ++host) {
         const std::string name = hostName(host);
         ticket["services"]["all"]["endpoints"].push_back(name);
-        ticket["endpoints"][name] = {{"host", name}, {"port", TargetPort}, {"slots", TargetSlots}};
+        ticket["endpoints"][name] = {{"host", name}, {"port", TargetPort}, {"slots", m_options.targetSlots}};
+        ticket["services"][name]["endpoints"].push_back(name);
+        ticket["routes"][name] = {{"pathPrefix", "/" + name + "/"}, {"service", name}, {"timeoutMs", MaxTimeoutMs}};
         hosts.push_back(
             {{"host", name}, {"region", "r"}, {"zone", "z"}, {"address", address(host)}, {"state", "live"}});
     }
@@ -126,11 +128,16 @@
         exchange->respond(StatusOk, {}, nlohmann::json {{"state", target.health}, {"load", 0}}.dump());
         return;
     }
-    const std::string key = exchange->request().target.substr(1);
+    const std::string key(exchange->request().path().substr(1));
     ++m_runsByCall[key];
     ++target.runs;
+    if (target.isWithholding) {
+        target.withheld.push_back(exchange);
+        return;
+    }
+    const std::size_t paddingBytes = std::stoul(exchange->request().query("padding"));
     runLater(Milliseconds(m_random.nextBelow(MaxServiceMs)),
-             [exchange, key] { exchange->respond(StatusOk, {}, responseFor(key)); });
+             [exchange, key, paddingBytes] { exchange->respond(StatusOk, {}, responseFor(key, paddingBytes)); });
 }
 
 void Fleet::runLater(Milliseconds delay, std::function<void()> work)
@@ -164,17 +171,17 @@
     return false;
 }
 
-HttpClientRequest Fleet::readyRequest(std::size_t host) const
+HttpClientRequest Fleet::operatorRequest(std::size_t host, const std::string &path) const
 {
     HttpClientRequest request;
-    request.url = "http://" + address(host) + ":" + std::to_string(OperatorPort) + "/v1/ready";
+    request.url = "http://" + address(host) + ":" + std::to_string(OperatorPort) + path;
     return request;
 }
 
 bool Fleet::isReady(std::size_t host)
 {
     bool ready = false;
-    m_client.fetch(readyRequest(host),
+    m_client.fetch(operatorRequest(host, "/v1/ready"),
                    [this, &ready](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
                        ready = status == StatusOk;
                        m_loop.stop();
@@ -186,16 +193,20 @@
 void Fleet::startNode(std::size_t host)
 {
     const std::string platform = "http://" + address(0) + ":" + std::to_string(PlatformPort);
-    const nlohmann::json settings = {{"host", hostName(host)},
-                                     {"region", "r"},
-                                     {"zone", "z"},
-                                     {"address", address(host)},
-                                     {"callerPort", CallerPort},
-                                     {"operatorPort", OperatorPort},
-                                     {"linkPort", LinkPort},
-                                     {"configSource", platform},
-                                     {"hostList", platform},
-                                     {"storeRegion", "r"}};
+    nlohmann::json settings = {{"host", hostName(host)},
+                               {"region", "r"},
+                               {"zone", "z"},
+                               {"address", address(host)},
+                               {"callerPort", CallerPort},
+                               {"operatorPort", OperatorPort},
+                               {"linkPort", LinkPort},
+                               {"configSource", platform},
+                               {"hostList", platform},
+                               {"storeRegion", "r"}};
+    const auto own = m_options.settings.find(host);
+    if (own != m_options.settings.end()) {
+        settings.merge_patch(nlohmann::json::parse(own->second));
+    }
     const std::string file = (m_directory / (hostName(host) + ".json")).string();
     std::ofstream(file) << settings.dump();
     const std::string flag = "--settings=" + file;
@@ -270,7 +281,7 @@
               }
               runLater(ReadyPollInterval, [this, host, pollsLeft] { awaitRestarted(host, pollsLeft - 1); });
           };
-    m_client.fetch(readyRequest(host), handler);
+    m_client.fetch(operatorRequest(host, "/v1/ready"), handler);
 }
 
 int Fleet::waitForNode(std::size_t host)
@@ -289,50 +300,26 @@
     m_targets[host]->health = state;
 }
 
-void Fleet::call(std::size_t total, const std::function<void(std::size_t)> &onProgress)
+void Fleet::withholdResponses(std::size_t host)
 {
-    m_totalCalls = m_startedCalls + total;
-    const std::size_t before = m_records.size();
-    m_onProgress = [onProgress, before](std::size_t ended) {
-        onProgress(ended - before);
-    };
-    for (std::size_t i = 0; i < ConcurrentCalls && m_startedCalls < m_totalCalls; ++i) {
-        startCall();
-    }
-    while (m_records.size() < m_totalCalls) {
-        m_loop.run();
-    }
+    m_targets[host]->isWithholding = true;
 }
 
-void Fleet::startCall()
+std::size_t Fleet::acceptedAt(std::size_t host)
 {
-    CallRecord record;
-    record.key = "call" + std::to_string(m_startedCalls);
-    record.repeatable = m_startedCalls % 3 == 0;
-    ++m_startedCalls;
-    HttpClientRequest request;
-    request.method = record.repeatable ? "GET" : "POST";
-    request.url = "http://" + address(0) + ":" + std::to_string(CallerPort) + "/" + record.key;
-    request.headers = {{"Jasminemast-Deadline-Ms", "4000"}};
-    request.atMostOnce = true;
-    m_client.fetch(std::move(request),
-                   [this, record](const HttpClientResult &result, unsigned status, const HttpHeaders &headers,
-                                  const std::string &body) {
-                       CallRecord ended = record;
-                       ended.status = result.code == ResultCode::Ok ? status : 0;
-                       const std::string *outcome = findHeader(headers, "Jasminemast-Outcome");
-                       ended.outcome = outcome == nullptr ? "" : *outcome;
-                       ended.body = body;
-                       m_records.push_back(std::move(ended));
-                       m_loop.post([this] {
-                           m_onProgress(m_records.size());
-                           if (m_startedCalls < m_totalCalls) {
-                               startCall();
-                           } else if (m_records.size() == m_totalCalls) {
-                               m_loop.stop();
-                           }
-                       });
-                   });
+    std::size_t accepted = 0;
+    const auto handler
+        = [this, &accepted](const HttpClientResult &, unsigned, const HttpHeaders &, const std::string &metrics) {
+              const std::string label = "\njasminemast_attempts_running ";
+              const std::size_t found = metrics.find(label);
+              if (found != std::string::npos) {
+                  accepted = std::stoul(metrics.substr(found + label.size()));
+              }
+              m_loop.stop();
+          };
+    m_client.fetch(operatorRequest(host, "/metrics"), handler);
+    m_loop.run();
+    return accepted;
 }
 
 void Fleet::runFor(Milliseconds duration)
@@ -342,43 +329,11 @@
     m_loop.run();
 }
 
-std::size_t Fleet::okResponses() const
-{
-    return static_cast<std::size_t>(std::count_if(m_records.begin(), m_records.end(),
-                                                  [](const CallRecord &record) { return record.status == StatusOk; }));
-}
-
-std::string Fleet::failures() const
+void Fleet::awaitState(const std::function<bool()> &isReached)
 {
-    std::string text;
-    for (const CallRecord &record : m_records) {
-        if (record.status != StatusOk) {
-            text += record.key + " " + std::to_string(record.status) + " " + record.outcome + " " + record.body;
-        }
-    }
-    return text;
-}
-
-std::vector<std::string> Fleet::violations() const
-{
-    std::vector<std::string> found;
-    for (const CallRecord &record : m_records) {
-        const auto entry = m_runsByCall.find(record.key);
-        const std::size_t runs = entry == m_runsByCall.end() ? 0 : entry->second;
-        if (!record.repeatable && runs > 1) {
-            found.push_back("ran twice: " + record.key);
-        }
-        if (record.outcome == "not-run" && runs > 0) {
-            found.push_back("reported as not run but ran: " + record.key);
-        }
-        if (record.status == StatusOk && (runs == 0 || record.body != responseFor(record.key))) {
-            found.push_back("wrong or incomplete response: " + record.key);
-        }
-        if (record.status == 0) {
-            found.push_back("connection lost: " + record.key);
-        }
+    while (!isReached()) {
+        runFor(StatePollInterval);
     }
-    return found;
 }
 
 } // namespace jasminemast::fleet
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -18,21 +19,39 @@
 namespace jasminemast::fleet
 {
 
+/// What differs between the fleets of tests.
+struct FleetOptions
+{
+    std::size_t targetSlots = 12; ///< of each target
+    std::map<std::size_t, std::string> settings; ///< JSON objects, merged into the settings files of these hosts
+};
+
+/// Which node a caller sends a call to, and what it asks for.
+struct CallPlan
+{
+    std::size_t entryHost = 0;
+    std::optional<std::size_t> targetHost; ///< the only host whose target may run the call; unset: any
+    bool repeatable = true;
+    std::size_t paddingBytes = 2'000; ///< of the response
+    Milliseconds deadline {4'000};
+};
+
 /// One call and the response that the caller got.
 struct CallRecord
 {
     std::string key;
     bool repeatable = false;
+    std::size_t paddingBytes = 0;
     unsigned status = 0; ///< 0: the connection broke
     std::string outcome; ///< the Jasminemast-Outcome header
     std::string body;
 };
 
-/// Nodes with one target each, and callers of the first node.
+/// Nodes with one target each, and callers of the nodes.
 class Fleet
 {
 public:
-    explicit Fleet(std::size_t hosts);
+    explicit Fleet(std::size_t hosts, FleetOptions options = {});
     ~Fleet();
 
     /// Starts all nodes and waits until they are ready; false if one is not ready in time.
@@ -56,11 +75,21 @@
         return m_exitStatuses;
     }
     void setHealth(std::size_t host, const std::string &state);
+    /// From now on, the target of \p host takes calls and never answers them.
+    void withholdResponses(std::size_t host);
 
     /// Makes \p total calls, some concurrently, and calls \p onProgress after each one with the number of ended calls.
     void call(std::size_t total, const std::function<void(std::size_t ended)> &onProgress);
+    /// Starts one call and returns its key.
+    std::string startCall(const CallPlan &plan);
+    /// Keeps \p concurrent calls open until finishCalls(): whenever one ends, the next one starts.
+    void keepCalling(const CallPlan &plan, std::size_t concurrent);
+    /// Starts no further calls and waits for the open ones to end.
+    void finishCalls();
     /// Runs the loop for \p duration.
     void runFor(Milliseconds duration);
+    /// Runs the loop until \p isReached returns true.
+    void awaitState(const std::function<bool()> &isReached);
 
     /// Violations of guarantees, found by comparing the records with the runs that targets counted.
     [[nodiscard]] std::vector<std::string> violations() const;
@@ -71,10 +100,15 @@
     {
         return m_records;
     }
+    /// The record of an ended call; null while the call is open.
+    [[nodiscard]] const CallRecord *findRecord(const std::string &key) const;
     [[nodiscard]] std::size_t runsAt(std::size_t host) const
     {
         return m_targets.at(host)->runs;
     }
+    [[nodiscard]] std::size_t runsOf(const std::string &key) const;
+    /// The calls that the node of \p host has accepted for its target, waiting ones included, from the node's metrics.
+    [[nodiscard]] std::size_t acceptedAt(std::size_t host);
 
 private:
     struct Target
@@ -82,23 +116,30 @@
         std::unique_ptr<HttpServer> server;
         std::string health = "ok";
         std::size_t runs = 0;
+        bool isWithholding = false;
+        std::vector<std::shared_ptr<HttpExchange>> withheld;
     };
 
     [[nodiscard]] std::string address(std::size_t host) const;
+    [[nodiscard]] std::string callerUrl(std::size_t host) const;
     void publishConfiguration();
     void handlePlatformRequest(const std::shared_ptr<HttpExchange> &exchange);
     void handleTargetRequest(std::size_t host, const std::shared_ptr<HttpExchange> &exchange);
-    void startCall();
+    void send(const CallPlan &plan, const std::string &key, std::function<void()> onEnded);
+    std::string nextKey(const CallPlan &plan);
+    void startNextCall();
+    void callRepeatedly(const CallPlan &plan);
     void awaitExit(std::size_t host);
     void runLater(Milliseconds delay, std::function<void()> work);
     /// Ends the restart of \p host once its new process is ready; before that, the process may not have installed its
     /// handler for SIGTERM.
     void awaitRestarted(std::size_t host, int pollsLeft);
-    [[nodiscard]] HttpClientRequest readyRequest(std::size_t host) const;
+    [[nodiscard]] HttpClientRequest operatorRequest(std::size_t host, const std::string &path) const;
     bool isReady(std::size_t host);
 
     std::string m_addressPrefix; ///< first three numbers of all addresses, different from those of other test processes
     std::filesystem::path m_directory;
+    FleetOptions m_options;
     Loop m_loop;
     HttpClient m_client {m_loop};
     Random m_random {7};
@@ -115,7 +156,11 @@
     std::vector<CallRecord> m_records;
     std::size_t m_startedCalls = 0;
     std::size_t m_totalCalls = 0;
+    bool m_keepsCalling = false;
     std::function<void(std::size_t)> m_onProgress;
 };
 
+/// The body that targets respond with to the call \p key.
+std::string responseFor(const std::string &key, std::size_t paddingBytes);
+
 } // namespace jasminemast::fleet
