[net] Close links only after their peers have read everything that was sent

What callers saw: a response closed in its middle (LOST), at entry nodes that drain, or that do not and apply a change of configuration. A class of its own: it happened 0.8 to 5 s after the SIGTERM of some node, not at the exit of the caller's.

Cause: a draining node exits once nothing is queued in user space. Up to 125 kB of a response are in its kernel then. When the process closes a link with something unread (a credit, a heartbeat), or the peer sends something afterwards, the kernel resets the connection and drops what the peer has not acknowledged.

Fix: before the exit a node shuts down the sending side of each link, reads on, and ends when its peers have closed their ends, which they do after reading all of it; a second at most.

--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -85,6 +85,9 @@
     /// Moves the next bulk frame of \p stream to the write buffer and returns its size. \p stream has a frame queued.
     std::size_t admitBulkFrame(StreamId stream);
 
+    /// Sends nothing more and closes the link once the peer has closed its end, which it does after reading all that
+    /// was sent. Closing at once would reset the connection when something of the peer is unread, and lose those bytes.
+    void finishSending();
     /// Closes the link; onDown follows later in this loop iteration.
     void close(ResultCode reason);
 
@@ -96,6 +99,10 @@
     {
         return m_closed;
     }
+    [[nodiscard]] bool isSendingFinished() const
+    {
+        return m_isSendingFinished;
+    }
     [[nodiscard]] bool isOutgoing() const
     {
         return m_outgoing;
@@ -188,6 +195,7 @@
     bool m_up = false;
     bool m_closed = false;
     bool m_flushScheduled = false;
+    bool m_isSendingFinished = false;
     int m_retainCount = 0;
     bool m_sentSinceLastReceive = false;
     TimePoint m_silentSince;
--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -38,6 +38,11 @@
         return m_links.size();
     }
 
+    /// Accepts no further links, and closes each link once its peer has everything that was sent on it.
+    void finishSending();
+    /// Number of links that finishSending() has not closed yet; links opened later do not count.
+    [[nodiscard]] std::size_t finishingLinks() const;
+
     /// True while a link that is up has frames to write.
     [[nodiscard]] bool hasPending() const;
 
@@ -75,6 +80,7 @@
     IoWatcher m_acceptWatcher;
     Timer m_checkTimer;
     TimePoint m_lastCheck;
+    bool m_isSendingFinished = false;
     std::set<std::shared_ptr<Link>> m_links;
     /// Invariant: every link here is outgoing, open and in m_links.
     std::unordered_map<HostId, std::shared_ptr<Link>> m_outgoingLinks;
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -11,6 +11,7 @@
 #include "jasminemast/support/metrics.h"
 
 #include <filesystem>
+#include <optional>
 #include <string>
 
 namespace jasminemast
@@ -36,6 +37,8 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
+    /// Starts the exit of a node that has nothing left to do.
+    void beginExit();
     void detectPause();
     void reloadIfChanged();
     void reload();
@@ -72,6 +75,7 @@
     Timer m_drainTimer;
     Timer m_pauseTimer;
     TimePoint m_drainStartedAt;
+    std::optional<TimePoint> m_exitStartedAt; ///< set once nothing is left to do but to close the links
 };
 
 } // namespace jasminemast
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -132,6 +132,9 @@
 
 void Link::enqueueUrgent(FrameType type, std::string_view payload)
 {
+    if (m_isSendingFinished) {
+        return;
+    }
     m_urgentFrames.push_back(makeFrame(type, payload));
     scheduleFlush();
 }
@@ -149,7 +152,7 @@
 
 void Link::sendBulk(StreamId stream, FrameType type, std::string_view payload, const BulkPriority &priority)
 {
-    if (m_closed) {
+    if (m_closed || m_isSendingFinished) {
         return;
     }
     m_lastUsed = m_clock.now();
@@ -188,6 +191,18 @@
     return frame.size();
 }
 
+void Link::finishSending()
+{
+    if (!m_up) {
+        close(ResultCode::LinkIdle);
+        return;
+    }
+    if (!m_isSendingFinished) {
+        m_isSendingFinished = true;
+        flush();
+    }
+}
+
 void Link::close(ResultCode reason)
 {
     if (m_closed) {
@@ -421,6 +436,9 @@
             fillWriteBatch();
         }
         if (m_writeBatch.empty()) {
+            if (m_isSendingFinished && m_bulkFrames.empty()) {
+                ::shutdown(m_socket.get(), SHUT_WR);
+            }
             watch(false);
             m_pacer.wakeUp();
             return;
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -73,6 +73,23 @@
     }
 }
 
+void LinkPool::finishSending()
+{
+    m_isSendingFinished = true;
+    m_acceptWatcher.stop();
+    m_listener.close();
+    const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
+    for (const auto &link : links) {
+        link->finishSending();
+    }
+}
+
+std::size_t LinkPool::finishingLinks() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_links.begin(), m_links.end(), [](const auto &link) { return link->isSendingFinished(); }));
+}
+
 bool LinkPool::hasPending() const
 {
     return std::any_of(m_links.begin(), m_links.end(),
@@ -129,7 +146,9 @@
     const TimePoint now = m_clock.now();
     const bool wasPaused = now - m_lastCheck > m_settings.heartbeatInterval;
     m_lastCheck = now;
-    m_acceptWatcher.start(m_listener.get(), EV_READ);
+    if (!m_isSendingFinished) {
+        m_acceptWatcher.start(m_listener.get(), EV_READ);
+    }
     const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
     for (const auto &link : links) {
         if (wasPaused) {
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds DrainCheckInterval {20};
 /// A draining node exits after this time without work: a caller would have sent its next request by then.
 constexpr Milliseconds DrainIdleTime {500};
+/// A peer that does not close its end of a link within this time is cut off or paused.
+constexpr Milliseconds MaxLinkCloseTime {1'000};
 /// After a shorter pause, the platform has not closed its connections yet.
 constexpr Milliseconds MinPauseForReread {1'500};
 constexpr Milliseconds PauseCheckInterval {100};
@@ -150,7 +152,8 @@
     logEvent(Event::NodeStopped,
              {{"host", m_settings.self.host.value()},
               {"queued", std::to_string(m_links.queuedBytes())},
-              {"unacknowledged", std::to_string(m_links.unacknowledgedBytes())}});
+              {"unacknowledged", std::to_string(m_links.unacknowledgedBytes())},
+              {"openLinks", std::to_string(m_links.finishingLinks())}});
 }
 
 Link::Handlers Node::linkHandlers()
@@ -224,6 +227,12 @@
         m_loop.stop();
         return;
     }
+    if (m_exitStartedAt) {
+        if (m_links.finishingLinks() == 0 || m_clock.now() - *m_exitStartedAt >= MaxLinkCloseTime) {
+            m_loop.stop();
+        }
+        return;
+    }
     if (since >= drain.serve) {
         m_targetProxy.beginDrain();
     }
@@ -247,10 +256,18 @@
     // With a grace period, lingering has used the available time: do not wait for idle callers as well.
     const TimePoint last = std::max({m_drainStartedAt, m_entryProxy.lastActivity(), m_targetProxy.lastArrival()});
     if (drain.grace.count() > 0 || m_clock.now() - last >= DrainIdleTime) {
-        m_loop.stop();
+        beginExit();
     }
 }
 
+void Node::beginExit()
+{
+    m_exitStartedAt = m_clock.now();
+    // What a peer still sends can no longer be answered, so it must not run either.
+    m_targetProxy.beginDrain();
+    m_links.finishSending();
+}
+
 void Node::updateRequestLimits()
 {
     const RequestLimits &requestLimits = m_control.current()->requestLimits;
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -296,6 +296,33 @@
     EXPECT_EQ(m_frames, std::vector<std::string> {"sent"});
 }
 
+// The process used to exit with these bytes in its send buffer; unread bytes of the peer then reset the connection.
+TEST_F(LinkTest, FinishedLinkDeliversWhatWasSentToASlowPeer)
+{
+    constexpr int SmallBufferBytes = 8'192;
+    constexpr std::size_t PayloadBytes = 16'000;
+    constexpr int FrameCount = 10;
+    TestListener listener(m_address, SmallBufferBytes);
+    const auto pool = makePool("h1", testAddress());
+    const auto link = pool->connect(HostId("h2"), m_address);
+    TestPeer peer = acceptPeer(m_loop, listener);
+    peer.write(hello("h2"));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
+    for (int i = 0; i < FrameCount; ++i) {
+        link->sendBulk(StreamId(1), BulkType, std::string(PayloadBytes, '1'));
+    }
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("1"); }));
+    peer.write(frame(HeartbeatType, ""));
+    pool->finishSending();
+    link->sendBulk(StreamId(1), BulkType, "too late");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed(); }));
+    const auto types = frameTypes(peer.read());
+    EXPECT_EQ(std::count(types.begin(), types.end(), BulkType), FrameCount);
+    EXPECT_EQ(pool->finishingLinks(), 1U) << "the peer has not closed its end";
+    peer.close();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return pool->finishingLinks() == 0; }));
+}
+
 TEST_F(LinkTest, PacesBulkFramesButNotUrgentFrames)
 {
     constexpr ByteRate Rate {1'000'000};
