[net] Read what a peer has sent before closing a link on a failed send

What callers can see: a response that has arrived at the entry node is lost, since the node of its target closed the connection and the next message to it fails before the response is read.

Before the change FailedSendKeepsFramesThatThePeerSentBefore fails in 3 of 3 runs (no frame arrives), after it 3 of 3 pass.

--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -451,6 +451,8 @@
         }
         if (size < 0) {
             m_socketError = errno;
+            // What the peer sent before it closed the connection has arrived.
+            readAvailable();
             close(ResultCode::LinkLost);
             return;
         }
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -323,6 +323,24 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return pool->finishingLinks() == 0; }));
 }
 
+TEST_F(LinkTest, FailedSendKeepsFramesThatThePeerSentBefore)
+{
+    TestListener listener(m_address);
+    const auto pool = makePool("h1", testAddress());
+    const auto link = pool->connect(HostId("h2"), m_address);
+    TestPeer peer = acceptPeer(m_loop, listener);
+    peer.write(hello("h2"));
+    ASSERT_TRUE(runUntil(m_loop, [&] { return link->isUp(); }));
+    link->send(UserType, "unread");
+    int ticks = 0;
+    runUntil(m_loop, [&] { return ++ticks > 5; });
+    peer.write(frame(UserType, "response"));
+    peer.close(); // resets the connection, since "unread" is unread
+    link->send(UserType, "request");
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_down.empty(); }));
+    EXPECT_EQ(m_frames, std::vector<std::string> {"response"});
+}
+
 TEST_F(LinkTest, PacesBulkFramesButNotUrgentFrames)
 {
     constexpr ByteRate Rate {1'000'000};
