[node] Ignore further SIGTERMs and changed drain settings during a drain

What callers can see: a second SIGTERM, or SIGINT, started the drain anew, so that the node's own exit came after the time at which the platform ends the process, and the kill cut calls that were open. The same holds for drain settings that a reload changes meanwhile.

--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -37,6 +37,11 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
+    /// True while the node drains and exits even if calls are open.
+    [[nodiscard]] bool hasExitTime() const
+    {
+        return m_isDraining && m_drain.grace.count() > 0;
+    }
     /// Starts the exit of a node that has nothing left to do.
     void beginExit();
     void detectPause();
@@ -74,6 +79,8 @@
     OperatorApi m_operatorApi;
     Timer m_drainTimer;
     Timer m_pauseTimer;
+    bool m_isDraining = false;
+    DrainSettings m_drain; ///< as of the start of the drain
     TimePoint m_drainStartedAt;
     std::optional<TimePoint> m_exitStartedAt; ///< set once nothing is left to do but to close the links
 };
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -211,7 +211,12 @@
 
 void Node::beginDrain()
 {
+    if (m_isDraining) {
+        return;
+    }
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
+    m_isDraining = true;
+    m_drain = m_settings.drain;
     m_drainStartedAt = m_clock.now();
     m_control.beginDrain();
     m_drainTimer.startRepeating(DrainCheckInterval);
@@ -221,8 +226,7 @@
 void Node::checkDrained()
 {
     const Duration since = m_clock.now() - m_drainStartedAt;
-    const DrainSettings &drain = m_settings.drain;
-    if (drain.grace.count() > 0 && since >= drain.grace) {
+    if (hasExitTime() && since >= m_drain.grace) {
         m_entryProxy.logOpenCalls();
         m_loop.stop();
         return;
@@ -233,29 +237,29 @@
         }
         return;
     }
-    if (since >= drain.serve) {
+    if (since >= m_drain.serve) {
         m_targetProxy.beginDrain();
     }
     // Serve callers that do not know yet that the node is leaving.
-    if (since + DrainIdleTime < drain.linger) {
+    if (since + DrainIdleTime < m_drain.linger) {
         return;
     }
     m_entryProxy.beginDrain();
-    if (since < drain.linger && drain.grace.count() > 0) {
+    if (since < m_drain.linger && hasExitTime()) {
         return;
     }
     m_callerServer.stopAccepting();
-    if (drain.grace.count() > 0) {
+    if (hasExitTime()) {
         // Otherwise a request that arrives on an idle connection just before the exit would be cut off.
         m_callerServer.closeIdleConnections();
     }
     const bool busy = m_entryProxy.openCalls() > 0 || m_targetProxy.core().accepted() > 0 || m_callerServer.open() > 0;
-    if (busy || m_links.hasPending() || since < drain.linger) {
+    if (busy || m_links.hasPending() || since < m_drain.linger) {
         return;
     }
     // With a grace period, lingering has used the available time: do not wait for idle callers as well.
     const TimePoint last = std::max({m_drainStartedAt, m_entryProxy.lastActivity(), m_targetProxy.lastArrival()});
-    if (drain.grace.count() > 0 || m_clock.now() - last >= DrainIdleTime) {
+    if (hasExitTime() || m_clock.now() - last >= DrainIdleTime) {
         beginExit();
     }
 }
--- a/unittests/node/drainfaulttest.cpp
+++ b/unittests/node/drainfaulttest.cpp
@@ -136,3 +136,20 @@
     EXPECT_EQ(record.body.size(), responseFor(key, LongBytes).size());
     EXPECT_EQ(fleet.violations(), NoViolation);
 }
+
+// The platform counts from the first signal when it ends the process.
+TEST(DrainFaultTest, RepeatedSignalDoesNotRestartTheDrain)
+{
+    Fleet fleet(2, FleetOptions {.targetSlots = 1, .settings = {{EntryHost, ShortGraceSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.withholdResponses(TargetHost);
+    const std::string key = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.runsOf(key) == 1; });
+    fleet.signalNode(EntryHost, SIGTERM);
+    fleet.awaitState([&] { return fleet.countLogged(EntryHost, "NodeDraining") == 1; });
+
+    drainEntryNode(fleet, key);
+
+    EXPECT_EQ(fleet.countLogged(EntryHost, "NodeDraining"), 1U);
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -223,6 +223,16 @@
     m_nodes[host] = child;
 }
 
+std::size_t Fleet::countLogged(std::size_t host, std::string_view text) const
+{
+    std::ifstream log(m_directory / (hostName(host) + ".log"));
+    std::size_t lines = 0;
+    for (std::string line; std::getline(log, line);) {
+        lines += line.find(text) != std::string::npos ? 1 : 0;
+    }
+    return lines;
+}
+
 void Fleet::signalNode(std::size_t host, int signal)
 {
     // kill(0) would signal the test's own process group.
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -109,6 +109,8 @@
     [[nodiscard]] std::size_t runsOf(const std::string &key) const;
     /// The calls that the node of \p host has accepted for its target, waiting ones included, from the node's metrics.
     [[nodiscard]] std::size_t acceptedAt(std::size_t host);
+    /// Number of lines in the node's log that contain \p text.
+    [[nodiscard]] std::size_t countLogged(std::size_t host, std::string_view text) const;
 
 private:
     struct Target
