[call] End all calls of a draining node before its exit

What callers saw: after SIGTERM a node closed connections with no answer, 5.0 or 5.5 s later (LOST): neither a response nor a refusal, although nobody had broken off and the caller's deadline was still to come.

Cause: a node accepts calls until 2.4 s after SIGTERM, with deadlines of up to 4 s, and exits 5.5 s after SIGTERM. Its exit was no bound on the calls that it accepted; nothing ended them before it.

Fix: once the drain has begun, no call has a deadline after the end of the grace time. The node of the target learns the bound with the attempt, so that it refuses in time what can't start any more. When the time is over, attempts that wait for their targets are withdrawn, for which a short time is left: a node that says that an attempt was not run makes it a 503, all others become 504. The process exits once the responses are written.

EndsCallsWhenTheNodeExitsBeforeTheirDeadline and ReportsWithdrawnAttemptAsNotRunWhenItsNodeRepliesSo are new.

--- a/include/jasminemast/call/callmachine.h
+++ b/include/jasminemast/call/callmachine.h
@@ -4,6 +4,7 @@
 #include "jasminemast/call/attempt.h"
 #include "jasminemast/call/retry.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <variant>
@@ -80,16 +81,20 @@
 struct DeadlinePassed
 {
 };
+/// This node exits. DeadlinePassed follows if the target's node does not reply in time.
+struct ExitStarted
+{
+};
 struct CallerDisconnected
 {
 };
 } // namespace callevent
 
-using CallEvent
-    = std::variant<callevent::EndpointChosen, callevent::NoUsableEndpoint, callevent::NotSent, callevent::Refused,
-                   callevent::ResponseLost, callevent::ResponseStarted, callevent::ResponseFailed,
-                   callevent::ResponseCompleted, callevent::LinkLost, callevent::LinkRestored, callevent::PeerGone,
-                   callevent::FenceReplied, callevent::DeadlinePassed, callevent::CallerDisconnected>;
+using CallEvent = std::variant<callevent::EndpointChosen, callevent::NoUsableEndpoint, callevent::NotSent,
+                               callevent::Refused, callevent::ResponseLost, callevent::ResponseStarted,
+                               callevent::ResponseFailed, callevent::ResponseCompleted, callevent::LinkLost,
+                               callevent::LinkRestored, callevent::PeerGone, callevent::FenceReplied,
+                               callevent::DeadlinePassed, callevent::ExitStarted, callevent::CallerDisconnected>;
 
 /// What is to be done for a call.
 namespace callaction
@@ -113,6 +118,11 @@
 {
     std::uint32_t attempt;
 };
+/// Cancel the attempt; report Refused if the target's node replies that it was not run.
+struct SendWithdraw
+{
+    std::uint32_t attempt;
+};
 /// The call is over. Nothing follows.
 struct Finish
 {
@@ -123,7 +133,7 @@
 } // namespace callaction
 
 using CallAction = std::variant<callaction::ChooseEndpoint, callaction::SendOpen, callaction::SendFence,
-                                callaction::SendCancel, callaction::Finish>;
+                                callaction::SendCancel, callaction::SendWithdraw, callaction::Finish>;
 using CallActions = std::vector<CallAction>;
 
 /// State machine of one call.
@@ -144,10 +154,20 @@
     {
         return m_phase == Phase::Finished;
     }
+    /// True while only the reply to SendWithdraw is awaited.
+    [[nodiscard]] bool isWithdrawing() const
+    {
+        return m_phase == Phase::Withdrawing;
+    }
     [[nodiscard]] std::uint32_t attempt() const
     {
         return m_attempt;
     }
+    /// Makes the deadline \p latest if it is later.
+    void limitDeadline(TimePoint latest)
+    {
+        m_deadline = std::min(m_deadline, latest);
+    }
     [[nodiscard]] TimePoint deadline() const
     {
         return m_deadline;
@@ -159,6 +179,7 @@
         Waiting, ///< for the reply to the attempt
         Fencing, ///< the link of the attempt was lost; waiting for the reply to the fence
         Responding, ///< the response is being passed on
+        Withdrawing, ///< the attempt was cancelled; waiting for the reply that it was not run
         Finished,
     };
 
@@ -175,6 +196,7 @@
     CallActions on(const callevent::PeerGone &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::FenceReplied &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::DeadlinePassed &event, RetryBudget &budget, TimePoint now);
+    CallActions on(const callevent::ExitStarted &event, RetryBudget &budget, TimePoint now);
     CallActions on(const callevent::CallerDisconnected &event, RetryBudget &budget, TimePoint now);
 
     [[nodiscard]] bool awaits(std::uint32_t attempt) const;
--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -62,6 +62,12 @@
     HostId host;
     AttemptId attempt;
 };
+/// Cancel the attempt, and still report EntryCore::onRefused() if it was not run.
+struct SendWithdraw
+{
+    HostId host;
+    AttemptId attempt;
+};
 /// Connect to \p host unless already connecting; report EntryCore::onLinkUp() or onUnreachable().
 struct Connect
 {
@@ -77,7 +83,7 @@
 } // namespace entryaction
 
 using EntryAction = std::variant<entryaction::SendOpen, entryaction::SendFence, entryaction::SendCancel,
-                                 entryaction::Connect, entryaction::Finish>;
+                                 entryaction::SendWithdraw, entryaction::Connect, entryaction::Finish>;
 using EntryActions = std::vector<EntryAction>;
 
 /// All calls of one entry node.
@@ -98,6 +104,10 @@
         EntryActions actions;
     };
     BeginResult begin(const CallSpec &spec, TimePoint now);
+    /// Ends all calls at \p latest, also those that begin later, since this node exits then. Attempts that have not
+    /// reached their targets are withdrawn first, so that their callers learn that they were not run; the replies are
+    /// awaited for \p withdrawTimeout.
+    void limitDeadlines(TimePoint latest, Duration withdrawTimeout);
     EntryActions onCallerDisconnected(const CallId &call, TimePoint now);
 
     EntryActions onLinkUp(const HostId &host, Incarnation incarnation, TimePoint now);
@@ -132,8 +142,6 @@
         return m_calls.size();
     }
     [[nodiscard]] std::optional<TimePoint> earliestDeadline() const;
-    /// The deadline of the open call \p call.
-    [[nodiscard]] TimePoint deadlineOf(const CallId &call) const;
 
 private:
     /// The latest attempt of a call.
@@ -178,7 +186,9 @@
     void chooseEndpoint(const CallId &id, std::optional<ResultCode> reason, EntryActions &actions, TimePoint now);
     void sendOpen(const CallId &id, Call &call, EntryActions &actions, TimePoint now);
     void sendFence(const CallId &id, Call &call, EntryActions &actions);
-    void sendCancel(const CallId &id, const Call &call, EntryActions &actions) const;
+    /// Adds an \p Action for the node of the open attempt, if there is a link to it.
+    template<class Action>
+    void sendToAttempt(const CallId &id, const Call &call, EntryActions &actions) const;
     void finish(const CallId &id, const callaction::Finish &end, EntryActions &actions);
     /// Records the duration of the open attempt for its endpoint.
     void recordAttemptDuration(const Call &call, TimePoint now);
@@ -189,6 +199,11 @@
     /// Sends the attempt or fence that waited for the new link to \p peer; an attempt sent to an earlier process there
     /// ends.
     void resumeOnLink(const CallId &id, const Peer &peer, EntryActions &actions, TimePoint now);
+    /// Asks the target's node to withdraw the attempt of a call that is still open when this node exits.
+    void withdraw(const CallId &id, EntryActions &actions, TimePoint now);
+    void setDeadline(const CallId &id, Call &call, TimePoint deadline);
+    /// True if \p attempt is the latest of its call and has not ended.
+    [[nodiscard]] bool isOpen(const AttemptId &attempt) const;
     [[nodiscard]] std::vector<CallId> callsWithAttemptAt(const HostId &host) const;
     [[nodiscard]] AttemptId attemptId(const CallId &id, const Call &call) const;
 
@@ -199,6 +214,8 @@
     std::map<HostId, Peer> m_peers;
     std::map<CallId, Call> m_calls;
     std::set<std::pair<TimePoint, CallId>> m_deadlines; ///< of exactly the calls in m_calls
+    TimePoint m_latestDeadline = TimePoint::max(); ///< no call has a later deadline, unless its attempt is withdrawn
+    Duration m_withdrawTimeout {0};
     std::set<std::pair<TimePoint, CallId>> m_unsent; ///< attempts that may still wait for a link, by chosenAt
     std::uint64_t m_lastSequence = 0;
     std::uint64_t m_lastGeneration = 0; ///< counted over all hosts, so that no generation is used twice
--- a/include/jasminemast/node/callclient.h
+++ b/include/jasminemast/node/callclient.h
@@ -43,6 +43,7 @@
     std::shared_ptr<ResponseSink> sinkOf(const Key &key) const;
     void onLastFrame(const std::shared_ptr<Link> &link, CallFrame type, std::string_view payload);
     void cancel(const Key &key);
+    void withdraw(const Key &key);
     void credit(const Key &key, std::size_t bytes);
 
     std::uint64_t m_lastStream = 0;
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -90,6 +90,7 @@
     /// Sets the attempt in progress. The previous handle is dropped without a cancel.
     void setHandle(std::unique_ptr<AttemptHandle> handle);
     void cancelAttempt();
+    void withdrawAttempt();
 
     void forwardHead(const HeadMessage &head, bool closeConnection);
     void forwardData(std::string_view bytes);
--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -56,6 +56,8 @@
     {
         m_draining = true;
     }
+    /// See EntryCore::limitDeadlines(). A call without a response gets a failure.
+    void limitDeadlines(TimePoint latest, Duration withdrawTimeout);
 
     /// Logs each call that has no complete response, before the exit of the node cuts it.
     void logOpenCalls() const;
@@ -119,6 +121,7 @@
     TimePoint m_appliedAt;
     TimePoint m_lastActivity;
     bool m_draining = false;
+    TimePoint m_latestDeadline = TimePoint::max(); ///< as in EntryCore
     Timer m_tickTimer;
 };
 
--- a/include/jasminemast/node/responsesink.h
+++ b/include/jasminemast/node/responsesink.h
@@ -33,6 +33,8 @@
     virtual ~AttemptHandle() = default;
     /// Cancels the attempt; the sink is not called again. \p reason is logged if the target runs the request.
     virtual void cancel(ResultCode reason) = 0;
+    /// Cancels the attempt. The sink is called again only with refused(), if the request did not reach the target.
+    virtual void withdraw() = 0;
     /// Flow control: \p bytes of the response body were consumed.
     virtual void credit(std::size_t bytes) = 0;
 };
--- a/include/jasminemast/settings/nodesettings.h
+++ b/include/jasminemast/settings/nodesettings.h
@@ -60,7 +60,8 @@
 {
     Milliseconds serve {0}; ///< time during which the node's target still receives new calls
     Milliseconds linger {500}; ///< time during which callers are still served, so that they notice the draining
-    Milliseconds grace {0}; ///< the node exits after this time even if calls are open; 0: only once none is open
+    Milliseconds grace {0}; ///< calls that are still open after this time end; 0: the node waits until none is open
+    Milliseconds flush {250}; ///< after the grace time, the last responses may be written for this long
 };
 
 /// All settings of a node.
--- a/lib/call/callmachine.cpp
+++ b/lib/call/callmachine.cpp
@@ -106,6 +106,9 @@
 CallActions CallMachine::on(const callevent::Refused &event, RetryBudget &budget, TimePoint now)
 {
     assert(isNotRun(event.code) && "the code of a refusal must mean that the request was not run");
+    if (event.attempt == m_attempt && m_phase == Phase::Withdrawing) {
+        return finish(outcomeWithoutResponse(), event.code);
+    }
     if (!awaits(event.attempt)) {
         return {};
     }
@@ -213,6 +216,15 @@
     return abandon(ResultCode::DeadlineExceeded);
 }
 
+CallActions CallMachine::on(const callevent::ExitStarted & /*event*/, RetryBudget & /*budget*/, TimePoint /*now*/)
+{
+    if (m_phase != Phase::Waiting) {
+        return abandon(ResultCode::DeadlineExceeded);
+    }
+    m_phase = Phase::Withdrawing;
+    return {callaction::SendWithdraw {m_attempt}};
+}
+
 CallActions CallMachine::on(const callevent::CallerDisconnected & /*event*/, RetryBudget & /*budget*/,
                             TimePoint /*now*/)
 {
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -30,26 +30,50 @@
 EntryCore::BeginResult EntryCore::begin(const CallSpec &spec, TimePoint now)
 {
     const CallId id {m_identity.host, m_identity.incarnation, ++m_lastSequence};
-    CallMachine machine(spec.repeatable, spec.deadline, spec.maxAttempts);
+    const TimePoint deadline = std::min(spec.deadline, m_latestDeadline);
+    CallMachine machine(spec.repeatable, deadline, spec.maxAttempts);
     const CallActions first = machine.start();
-    m_calls.emplace(id, Call {spec, machine, {}, ResultCode::NoEndpoint, {}});
-    m_deadlines.emplace(spec.deadline, id);
+    Call &call = m_calls.emplace(id, Call {spec, machine, {}, ResultCode::NoEndpoint, {}}).first->second;
+    call.spec.deadline = deadline;
+    m_deadlines.emplace(deadline, id);
     EntryActions actions;
     performActions(id, first, actions, now);
     return {id, std::move(actions)};
 }
 
+void EntryCore::limitDeadlines(TimePoint latest, Duration withdrawTimeout)
+{
+    m_latestDeadline = latest;
+    m_withdrawTimeout = withdrawTimeout;
+    for (auto &[id, call] : m_calls) {
+        setDeadline(id, call, std::min(call.spec.deadline, latest));
+        call.machine.limitDeadline(latest);
+    }
+}
+
+void EntryCore::setDeadline(const CallId &id, Call &call, TimePoint deadline)
+{
+    m_deadlines.erase({call.spec.deadline, id});
+    call.spec.deadline = deadline;
+    m_deadlines.emplace(deadline, id);
+}
+
 AttemptId EntryCore::attemptId(const CallId &id, const Call &call) const
 {
     return {id, call.machine.attempt()};
 }
 
-bool EntryCore::awaits(const AttemptId &attempt) const
+bool EntryCore::isOpen(const AttemptId &attempt) const
 {
     const auto found = m_calls.find(attempt.call);
     return found != m_calls.end() && found->second.attempt.open && found->second.machine.attempt() == attempt.number;
 }
 
+bool EntryCore::awaits(const AttemptId &attempt) const
+{
+    return isOpen(attempt) && !m_calls.at(attempt.call).machine.isWithdrawing();
+}
+
 void EntryCore::handleEvent(const CallId &id, const CallEvent &event, AttemptResult result, EntryActions &actions,
                             TimePoint now)
 {
@@ -89,6 +113,15 @@
     }
 }
 
+template<class Action>
+void EntryCore::sendToAttempt(const CallId &id, const Call &call, EntryActions &actions) const
+{
+    const auto peer = m_peers.find(call.attempt.host);
+    if (call.attempt.sent && peer != m_peers.end() && peer->second.up) {
+        actions.emplace_back(Action {call.attempt.host, attemptId(id, call)});
+    }
+}
+
 void EntryCore::performActions(const CallId &id, const CallActions &callActions, EntryActions &actions, TimePoint now)
 {
     for (const CallAction &action : callActions) {
@@ -106,7 +139,9 @@
                 } else if constexpr (std::is_same_v<Action, callaction::SendFence>) {
                     sendFence(id, m_calls.at(id), actions);
                 } else if constexpr (std::is_same_v<Action, callaction::SendCancel>) {
-                    sendCancel(id, m_calls.at(id), actions);
+                    sendToAttempt<entryaction::SendCancel>(id, m_calls.at(id), actions);
+                } else if constexpr (std::is_same_v<Action, callaction::SendWithdraw>) {
+                    sendToAttempt<entryaction::SendWithdraw>(id, m_calls.at(id), actions);
                 } else {
                     finish(id, concrete, actions);
                 }
@@ -174,14 +209,6 @@
         entryaction::SendFence {attempt.host, FenceRequest {attemptId(id, call), attempt.target, peer.generation}});
 }
 
-void EntryCore::sendCancel(const CallId &id, const Call &call, EntryActions &actions) const
-{
-    const auto peer = m_peers.find(call.attempt.host);
-    if (call.attempt.sent && peer != m_peers.end() && peer->second.up) {
-        actions.emplace_back(entryaction::SendCancel {call.attempt.host, attemptId(id, call)});
-    }
-}
-
 void EntryCore::finish(const CallId &id, const callaction::Finish &end, EntryActions &actions)
 {
     if (end.retryRefusal) {
@@ -305,7 +332,7 @@
 EntryActions EntryCore::onRefused(const AttemptId &attempt, ResultCode code, TimePoint now)
 {
     EntryActions actions;
-    if (!awaits(attempt)) {
+    if (!isOpen(attempt)) {
         return actions;
     }
     Call &call = m_calls.at(attempt.call);
@@ -428,14 +455,20 @@
             recordAttemptDuration(m_calls.at(id), now);
         }
         failIfUnsent(id, actions, now);
-        handleEvent(id, callevent::DeadlinePassed {}, AttemptResult::Failure, actions, now);
+        const auto call = m_calls.find(id);
+        if (call != m_calls.end() && call->second.spec.deadline == m_latestDeadline) {
+            withdraw(id, actions, now);
+        } else {
+            handleEvent(id, callevent::DeadlinePassed {}, AttemptResult::Failure, actions, now);
+        }
     }
     return actions;
 }
 
-TimePoint EntryCore::deadlineOf(const CallId &call) const
+void EntryCore::withdraw(const CallId &id, EntryActions &actions, TimePoint now)
 {
-    return m_calls.at(call).spec.deadline;
+    setDeadline(id, m_calls.at(id), now + m_withdrawTimeout);
+    handleEvent(id, callevent::ExitStarted {}, AttemptResult::Neutral, actions, now);
 }
 
 std::optional<TimePoint> EntryCore::earliestDeadline() const
--- a/lib/node/callclient.cpp
+++ b/lib/node/callclient.cpp
@@ -33,6 +33,11 @@
         m_client.cancel(m_key);
     }
 
+    void withdraw() override
+    {
+        m_client.withdraw(m_key);
+    }
+
     void credit(std::size_t bytes) override
     {
         m_client.credit(m_key, bytes);
@@ -153,6 +158,12 @@
 }
 
 void CallClient::cancel(const Key &key)
+{
+    withdraw(key);
+    m_streams.erase(key);
+}
+
+void CallClient::withdraw(const Key &key)
 {
     const auto found = m_streams.find(key);
     if (found == m_streams.end()) {
@@ -161,7 +172,6 @@
     const auto &link = found->second->link;
     link->dropBulk(StreamId(key.second));
     link->send(static_cast<FrameType>(CallFrame::Cancel), encodeMessage(CancelMessage {key.second}));
-    m_streams.erase(found);
 }
 
 void CallClient::credit(const Key &key, std::size_t bytes)
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -150,6 +150,11 @@
     if (found != m_streams.end()) {
         if (found->second->attempt) {
             found->second->attempt->cancel(ResultCode::CallWithdrawn);
+        } else {
+            // The request body is incomplete.
+            const auto code = static_cast<std::uint32_t>(number(ResultCode::CallWithdrawn));
+            link->send(static_cast<FrameType>(CallFrame::Refused),
+                       encodeMessage(RefusedMessage {message.stream, code, "", 0}));
         }
         m_streams.erase(found);
     }
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -195,6 +195,13 @@
     }
 }
 
+void EntryCall::withdrawAttempt()
+{
+    if (m_handle) {
+        m_handle->withdraw();
+    }
+}
+
 void EntryCall::forwardHead(const HeadMessage &head, bool closeConnection)
 {
     HttpHeaders headers;
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -34,14 +34,14 @@
     return limits;
 }
 
-/// Logs \p call, which ends without a complete response; \p reason is one further field.
-void logIncompleteCall(Event event, const EntryCall &call, TimePoint now, const EventField &reason)
+/// Logs \p call, which ends without a complete response because of \p code.
+void logIncompleteCall(Event event, const EntryCall &call, TimePoint now, ResultCode code)
 {
     const auto since = std::chrono::duration_cast<Milliseconds>(now - call.arrivedAt());
     const ResponseProgress progress = call.progress();
     logEvent(event,
              {{"request", call.requestId()},
-              reason,
+              {"code", std::to_string(number(code))},
               {"ms", std::to_string(since.count())},
               {"response", progress.isStarted ? "started" : "none"},
               {"received", std::to_string(progress.received)},
@@ -144,13 +144,19 @@
     m_headers = {settings.calls.headers, settings.targetService};
 }
 
+void EntryProxy::limitDeadlines(TimePoint latest, Duration withdrawTimeout)
+{
+    m_latestDeadline = latest;
+    m_core.limitDeadlines(latest, withdrawTimeout);
+}
+
 void EntryProxy::handle(const std::shared_ptr<HttpExchange> &exchange)
 {
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     const CallerLimits limits = callerLimits(exchange->request().headers, m_headers.names, m_settings.defaultDeadline);
     const TimePoint arrived = now - m_context.pauseDetector.inputAge(now);
-    const TimePoint deadline = arrived + limits.deadline;
+    const TimePoint deadline = std::min(arrived + limits.deadline, m_latestDeadline);
     if (limits.minTicket <= m_context.config.current()->number) {
         routeCall(exchange, arrived, deadline);
         return;
@@ -231,9 +237,11 @@
                     connect(concrete.host);
                 } else if constexpr (std::is_same_v<Action, entryaction::Finish>) {
                     finish(concrete);
-                } else {
-                    if (EntryCall *call = findCall(concrete.attempt.call)) {
+                } else if (EntryCall *call = findCall(concrete.attempt.call)) {
+                    if constexpr (std::is_same_v<Action, entryaction::SendCancel>) {
                         call->cancelAttempt();
+                    } else {
+                        call->withdrawAttempt();
                     }
                 }
             },
@@ -353,7 +361,8 @@
         m_context.metrics.observe(Summary::CallDuration, now - call->arrivedAt());
     }
     if (end.outcome == Outcome::Unknown && end.code != ResultCode::CallerGone) {
-        logIncompleteCall(Event::CallUnknown, *call, now, {"code", std::to_string(number(end.code))});
+        const Event event = now < m_latestDeadline ? Event::CallUnknown : Event::CallCutByExit;
+        logIncompleteCall(event, *call, now, end.code);
     }
     call->finish(end.outcome, end.code, failureHeaders(call->softDeadline()));
 }
@@ -362,8 +371,7 @@
 {
     const TimePoint now = m_context.clock.now();
     for (const auto &[id, call] : m_calls) {
-        const auto left = std::chrono::duration_cast<Milliseconds>(m_core.deadlineOf(id) - now);
-        logIncompleteCall(Event::CallCutByExit, *call, now, {"leftMs", std::to_string(left.count())});
+        logIncompleteCall(Event::CallCutByExit, *call, now, ResultCode::DeadlineExceeded);
     }
 }
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -219,6 +219,9 @@
     m_drain = m_settings.drain;
     m_drainStartedAt = m_clock.now();
     m_control.beginDrain();
+    if (hasExitTime()) {
+        m_entryProxy.limitDeadlines(m_drainStartedAt + m_drain.grace, m_drain.flush / 2);
+    }
     m_drainTimer.startRepeating(DrainCheckInterval);
     checkDrained();
 }
@@ -226,7 +229,7 @@
 void Node::checkDrained()
 {
     const Duration since = m_clock.now() - m_drainStartedAt;
-    if (hasExitTime() && since >= m_drain.grace) {
+    if (hasExitTime() && since >= m_drain.grace + m_drain.flush) {
         m_entryProxy.logOpenCalls();
         m_loop.stop();
         return;
--- a/lib/node/targetproxy.cpp
+++ b/lib/node/targetproxy.cpp
@@ -44,6 +44,11 @@
         m_proxy.cancel(m_attempt, reason);
     }
 
+    void withdraw() override
+    {
+        m_proxy.cancel(m_attempt, ResultCode::CallWithdrawn);
+    }
+
     void credit(std::size_t bytes) override
     {
         const auto found = m_proxy.m_attempts.find(m_attempt);
--- a/lib/settings/nodesettings.cpp
+++ b/lib/settings/nodesettings.cpp
@@ -76,9 +76,11 @@
     drain.grace = reader.milliseconds("graceMs", 0ms, 600'000ms, drain.grace);
     const double killSeconds = reader.real("killSeconds", 0, 600, 0);
     const Milliseconds margin = reader.milliseconds("killMarginMs", 0ms, 60'000ms, 500ms);
+    drain.flush = margin / 2;
     if (killSeconds > 0) {
         const auto kill = std::chrono::duration_cast<Milliseconds>(std::chrono::duration<double>(killSeconds));
         drain.grace = std::max(kill - margin, kill / 2);
+        drain.flush = (kill - drain.grace) / 2;
     }
     reader.finish();
     return drain;
--- a/unittests/call/entrycoretest.cpp
+++ b/unittests/call/entrycoretest.cpp
@@ -70,3 +70,42 @@
     }
     EXPECT_TRUE(m_core.onUnreachable(Host, true, Start + 1'200ms).empty());
 }
+
+// A response that arrives after the node's exit can no longer be delivered.
+TEST_F(EntryCoreTest, EndsCallsWhenTheNodeExitsBeforeTheirDeadline)
+{
+    const TimePoint exit = Start + 2s;
+    m_core.onLinkUp(Host, Incarnation(7), Start + 1s);
+    m_core.limitDeadlines(exit, 100ms);
+    CallSpec spec;
+    spec.service = ServiceId("s");
+    spec.deadline = Start + 4s;
+    const EntryActions begun = m_core.begin(spec, Start + 1'500ms).actions;
+    ASSERT_EQ(countOf<entryaction::SendOpen>(begun), 1U);
+    EXPECT_EQ(std::get<entryaction::SendOpen>(begun.front()).request.remaining, 500ms)
+        << "the node of the target knows the limit";
+    EXPECT_TRUE(m_core.tick(exit - 1ms).empty());
+    const EntryActions withdrawn = m_core.tick(exit);
+    EXPECT_EQ(countOf<entryaction::SendWithdraw>(withdrawn), 1U) << "the others wait for the reply to their fence";
+    EXPECT_EQ(countOf<entryaction::Finish>(withdrawn), Calls);
+    EXPECT_EQ(countOf<entryaction::Finish>(m_core.tick(exit + 100ms)), 1U);
+    EXPECT_EQ(m_core.openCalls(), 0U);
+}
+
+TEST_F(EntryCoreTest, ReportsWithdrawnAttemptAsNotRunWhenItsNodeRepliesSo)
+{
+    const TimePoint exit = Start + 2s;
+    m_core.onLinkUp(Host, Incarnation(7), Start + 1s);
+    m_core.limitDeadlines(exit, 100ms);
+    CallSpec spec;
+    spec.service = ServiceId("s");
+    spec.deadline = Start + 4s;
+    const CallId call = m_core.begin(spec, Start + 1'500ms).call;
+    m_core.tick(exit);
+    const AttemptId attempt {call, 1};
+    EXPECT_FALSE(m_core.awaits(attempt)) << "a response that begins now cannot be delivered";
+    const EntryActions actions = m_core.onRefused(attempt, ResultCode::CallWithdrawn, exit + 20ms);
+    ASSERT_EQ(countOf<entryaction::Finish>(actions), 1U);
+    EXPECT_EQ(actions.size(), 1U) << "no other attempt is made";
+    EXPECT_EQ(std::get<entryaction::Finish>(actions.front()).outcome, Outcome::NotRun);
+}
--- a/unittests/settings/settingstest.cpp
+++ b/unittests/settings/settingstest.cpp
@@ -47,8 +47,10 @@
     nlohmann::json json = minimalSettings();
     json["drain"] = {{"graceMs", 5'500}, {"killSeconds", 10}};
     EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(9'500));
+    EXPECT_EQ(parseNodeSettings(json.dump()).drain.flush, Milliseconds(250));
     json["drain"]["killSeconds"] = 0.6;
     EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(300)) << "time to work is left";
+    EXPECT_EQ(parseNodeSettings(json.dump()).drain.flush, Milliseconds(150)) << "responses are written before the end";
     json["drain"]["killSeconds"] = 0;
     EXPECT_EQ(parseNodeSettings(json.dump()).drain.grace, Milliseconds(5'500));
     json["drain"]["killSeconds"] = -1;
