[net] Send responses to a node first shortly before it exits

What callers saw: on hosts whose links are asked for more than they carry, a download accepted by a draining entry node was cut at the node's exit 3 to 4 s later, with no byte of its body sent (LOST).

Cause: the node of the target sends late responses after all others (SendSchedule). That is right for a caller who is still there later; a response to a node that exits can't be sent later.

Fix: 1.5 s before the end of its grace time, a node announces its exit on its links, and its peers send their responses on these links before all but tiny ones.

SendsLateResponsesOfExpeditedLinkUnderOverload and RemovedLinkIsNoLongerExpedited are new.

--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -27,7 +27,7 @@
     Cancel = 23, ///< CancelMessage: the requester no longer needs the response
     Fence = 24, ///< FenceMessage: asks for the state of an attempt whose link was lost
     FenceReply = 25, ///< FenceReplyMessage; Head, Data and End follow when the attempt runs or is done
-    Announce = 26, ///< AnnounceMessage: an endpoint takes no new calls, or takes them again
+    Announce = 26, ///< AnnounceMessage: an endpoint takes no new calls, or takes them again; or the sender exits
 };
 
 using HeaderFields = std::vector<std::pair<std::string, std::string>>;
@@ -155,10 +155,10 @@
     }
 };
 
-/// Says whether an endpoint on the sender's host takes new calls.
+/// Says whether an endpoint on the sender's host takes new calls, or that the sender itself exits soon.
 struct AnnounceMessage
 {
-    EndpointId endpoint;
+    EndpointId endpoint; ///< empty: the sender itself; earlier versions ignore that
     bool leaving = false;
 
     template<class Archive>
--- a/include/jasminemast/net/link.h
+++ b/include/jasminemast/net/link.h
@@ -73,6 +73,8 @@
     /// Queues a frame behind the earlier bulk frames of \p stream only. \p priority is that of the stream from this
     /// frame on; it is used only if the rate of the host's uplink is configured.
     void sendBulk(StreamId stream, FrameType type, std::string_view payload, const BulkPriority &priority = {});
+    /// Sends the bulk frames of this link before those of other links until it is closed.
+    void expediteBulk();
     /// Drops the bulk frames of \p stream that are still queued and returns their bytes.
     std::size_t dropBulk(StreamId stream);
 
--- a/include/jasminemast/net/sendpacer.h
+++ b/include/jasminemast/net/sendpacer.h
@@ -24,6 +24,8 @@
     void remove(Link &link, StreamId stream);
     /// Removes all streams of \p link.
     void removeLink(const Link &link);
+    /// See SendSchedule::expedite().
+    void expedite(const Link &link);
     /// See SendSchedule::addUnscheduledBytes().
     void addUnscheduledBytes(std::size_t bytes);
     /// Count bulk frames that were added to or removed from a link's queue.
--- a/include/jasminemast/net/sendschedule.h
+++ b/include/jasminemast/net/sendschedule.h
@@ -51,9 +51,9 @@
     }
 };
 
-/// Orders the waiting streams of all links by shortest remaining size. Streams that will miss their soft deadline go
-/// after all others, unless they are short. With round robin instead, all streams would finish when the last one does.
-/// A token bucket limits the rate.
+/// Orders the waiting streams of all links by shortest remaining size. Streams of expedited links go before all but
+/// tiny ones. Streams that will miss their soft deadline go after all others, unless they are short. With round robin
+/// instead, all streams would finish when the last one does. A token bucket limits the rate.
 ///
 /// Invariants: in any interval, no more is sent than the rate allows plus one burst and one frame; while a stream's
 /// link can send and the rate allows it, some stream is selected.
@@ -70,7 +70,10 @@
     /// Adds a stream that has frames to send; has no effect if the stream is already waiting.
     void add(const BulkStream &stream, const BulkPriority &priority);
     void remove(const BulkStream &stream);
+    /// Removes all streams of \p link, which is no longer expedited.
     void removeLink(const Link *link);
+    /// Sends the streams of \p link before all but tiny ones of other links from now on, even when they are late.
+    void expedite(const Link *link);
 
     using LinkFilter = std::function<bool(const Link &)>;
     /// Selects the stream whose next frame is to be sent now, among the links that \p canSend accepts.
@@ -88,14 +91,23 @@
     [[nodiscard]] Duration timeUntilAllowed(TimePoint now);
 
 private:
+    /// Classes of streams, in the order in which they are sent.
+    enum class Precedence : std::uint8_t {
+        Tiny, ///< almost nothing remains, so that it hardly delays the others
+        Expedited, ///< on an expedited link
+        OnTime, ///< can finish before its soft deadline
+        Late, ///< will finish after its soft deadline
+    };
     struct WaitingStream
     {
         BulkPriority priority;
+        bool isExpedited = false;
         bool isLate = false; ///< will finish after its soft deadline
     };
-    /// Whether the stream is late, its expected remaining bytes, the stream.
-    using OrderKey = std::tuple<bool, std::uint64_t, BulkStream>;
+    /// The precedence of the stream, its expected remaining bytes, the stream.
+    using OrderKey = std::tuple<Precedence, std::uint64_t, BulkStream>;
 
+    [[nodiscard]] static Precedence precedence(const WaitingStream &waiting);
     [[nodiscard]] static OrderKey orderKey(const BulkStream &stream, const WaitingStream &waiting);
     [[nodiscard]] bool missesSoftDeadline(const BulkPriority &priority, TimePoint now) const;
     /// Moves streams that can no longer meet their soft deadline behind those that can.
@@ -106,6 +118,7 @@
     double m_bytesPerSecond;
     double m_tokenBytes; ///< bytes that may be sent now; negative after a frame larger than that
     std::optional<TimePoint> m_tokensAddedAt;
+    std::set<const Link *> m_expedited;
     std::map<BulkStream, WaitingStream> m_waiting;
     std::set<OrderKey> m_order; ///< invariant: one key for each stream of m_waiting
 };
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -44,6 +44,8 @@
     }
     /// Starts the exit of a node that has nothing left to do.
     void beginExit();
+    /// Has the peer send its responses on \p link first.
+    static void announceExit(const std::shared_ptr<Link> &link);
     void detectPause();
     void reloadIfChanged();
     void reload();
@@ -80,6 +82,7 @@
     Timer m_drainTimer;
     Timer m_pauseTimer;
     bool m_isDraining = false;
+    bool m_isExitAnnounced = false;
     DrainSettings m_drain; ///< as of the start of the drain
     TimePoint m_drainStartedAt;
     std::optional<TimePoint> m_exitStartedAt; ///< set once nothing is left to do but to close the links
--- a/lib/net/link.cpp
+++ b/lib/net/link.cpp
@@ -167,6 +167,13 @@
     }
 }
 
+void Link::expediteBulk()
+{
+    if (!m_closed) {
+        m_pacer.expedite(*this);
+    }
+}
+
 std::size_t Link::dropBulk(StreamId stream)
 {
     std::size_t bytes = 0;
--- a/lib/net/sendpacer.cpp
+++ b/lib/net/sendpacer.cpp
@@ -29,6 +29,11 @@
     m_schedule.removeLink(&link);
 }
 
+void SendPacer::expedite(const Link &link)
+{
+    m_schedule.expedite(&link);
+}
+
 void SendPacer::addUnscheduledBytes(std::size_t bytes)
 {
     m_schedule.addUnscheduledBytes(bytes);
--- a/lib/net/sendschedule.cpp
+++ b/lib/net/sendschedule.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::duration<double> MaxDeficitTime {1};
 /// Delaying a late stream with no more than this left would not help the others.
 constexpr std::uint64_t ShortTransferBytes = 32 << 10;
+/// A few packets: expedited streams need not overtake these.
+constexpr std::uint64_t TinyTransferBytes = 4 << 10;
 
 } // namespace
 
@@ -39,9 +41,20 @@
 {
 }
 
+SendSchedule::Precedence SendSchedule::precedence(const WaitingStream &waiting)
+{
+    if (waiting.isExpedited) {
+        return Precedence::Expedited;
+    }
+    if (waiting.isLate) {
+        return Precedence::Late;
+    }
+    return waiting.priority.expectedRemaining() <= TinyTransferBytes ? Precedence::Tiny : Precedence::OnTime;
+}
+
 SendSchedule::OrderKey SendSchedule::orderKey(const BulkStream &stream, const WaitingStream &waiting)
 {
-    return {waiting.isLate, waiting.priority.expectedRemaining(), stream};
+    return {precedence(waiting), waiting.priority.expectedRemaining(), stream};
 }
 
 bool SendSchedule::missesSoftDeadline(const BulkPriority &priority, TimePoint now) const
@@ -56,7 +69,8 @@
 
 void SendSchedule::add(const BulkStream &stream, const BulkPriority &priority)
 {
-    const auto [entry, isNew] = m_waiting.try_emplace(stream, WaitingStream {priority, false});
+    const auto [entry, isNew]
+        = m_waiting.try_emplace(stream, WaitingStream {priority, m_expedited.contains(stream.link), false});
     if (isNew) {
         m_order.insert(orderKey(stream, entry->second));
     }
@@ -76,6 +90,21 @@
 {
     std::erase_if(m_order, [link](const OrderKey &entry) { return std::get<BulkStream>(entry).link == link; });
     std::erase_if(m_waiting, [link](const auto &item) { return item.first.link == link; });
+    m_expedited.erase(link);
+}
+
+void SendSchedule::expedite(const Link *link)
+{
+    if (!m_expedited.insert(link).second) {
+        return;
+    }
+    for (auto &[stream, waiting] : m_waiting) {
+        if (stream.link == link) {
+            m_order.erase(orderKey(stream, waiting));
+            waiting.isExpedited = true;
+            m_order.insert(orderKey(stream, waiting));
+        }
+    }
 }
 
 void SendSchedule::addTokens(TimePoint now)
@@ -90,15 +119,19 @@
 
 void SendSchedule::demoteLateStreams(TimePoint now)
 {
-    while (!m_order.empty()) {
-        const BulkStream stream = std::get<BulkStream>(*m_order.begin());
-        WaitingStream &first = m_waiting.at(stream);
-        if (first.isLate || !missesSoftDeadline(first.priority, now)) {
+    while (true) {
+        const auto first = m_order.lower_bound({Precedence::OnTime, 0, BulkStream {}});
+        if (first == m_order.end()) {
+            return;
+        }
+        const BulkStream stream = std::get<BulkStream>(*first);
+        WaitingStream &waiting = m_waiting.at(stream);
+        if (waiting.isLate || !missesSoftDeadline(waiting.priority, now)) {
             return;
         }
-        m_order.erase(m_order.begin());
-        first.isLate = true;
-        m_order.insert(orderKey(stream, first));
+        m_order.erase(first);
+        waiting.isLate = true;
+        m_order.insert(orderKey(stream, waiting));
     }
 }
 
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds DrainCheckInterval {20};
 /// A draining node exits after this time without work: a caller would have sent its next request by then.
 constexpr Milliseconds DrainIdleTime {500};
+/// Before its exit, a node has its peers send their responses first for this long. Most calls have ended by then, so
+/// that others wait little for the rest.
+constexpr Milliseconds ExpediteTime {1'500};
 /// A peer that does not close its end of a link within this time is cut off or paused.
 constexpr Milliseconds MaxLinkCloseTime {1'000};
 /// After a shorter pause, the platform has not closed its connections yet.
@@ -166,6 +169,9 @@
         m_metrics.count(Counter::LinksUp);
         logEvent(Event::LinkUp, {{"peer", link->peer().host.value()}});
         if (link->isOutgoing()) {
+            if (m_isExitAnnounced) {
+                announceExit(link);
+            }
             m_entryProxy.onLinkUp(link);
         }
     };
@@ -184,7 +190,12 @@
     }
     const auto frame = static_cast<CallFrame>(type);
     if (frame == CallFrame::Announce) {
-        m_entryProxy.onAnnounced(decodeMessage<AnnounceMessage>(payload, ResultCode::FrameMalformed));
+        const auto message = decodeMessage<AnnounceMessage>(payload, ResultCode::FrameMalformed);
+        if (message.endpoint.value().empty()) {
+            link->expediteBulk();
+        } else {
+            m_entryProxy.onAnnounced(message);
+        }
         return;
     }
     if (isReplyFrame(frame)) {
@@ -226,6 +237,11 @@
     checkDrained();
 }
 
+void Node::announceExit(const std::shared_ptr<Link> &link)
+{
+    link->send(static_cast<FrameType>(CallFrame::Announce), encodeMessage(AnnounceMessage {EndpointId(), true}));
+}
+
 void Node::checkDrained()
 {
     const Duration since = m_clock.now() - m_drainStartedAt;
@@ -234,6 +250,10 @@
         m_loop.stop();
         return;
     }
+    if (hasExitTime() && !m_isExitAnnounced && since >= m_drain.grace - ExpediteTime) {
+        m_isExitAnnounced = true;
+        m_links.forEachUp(&Node::announceExit);
+    }
     if (m_exitStartedAt) {
         if (m_links.finishingLinks() == 0 || m_clock.now() - *m_exitStartedAt >= MaxLinkCloseTime) {
             m_loop.stop();
--- a/unittests/net/sendscheduletest.cpp
+++ b/unittests/net/sendscheduletest.cpp
@@ -171,6 +171,37 @@
     EXPECT_LT(m_finishedAt.at(100) - addedAt, 20ms);
 }
 
+// Responses to a node that is about to exit cannot be delivered later. There is always a shorter response waiting.
+TEST_F(SendScheduleTest, SendsLateResponsesOfExpeditedLinkUnderOverload)
+{
+    addStream(0, 1, 280'000, m_now - 10ms);
+    const auto addShortResponses = [this](unsigned first) {
+        for (unsigned i = first; i < first + 100; ++i) {
+            addStream(1 + i % 2, i, 30'000);
+            runFor(9ms);
+        }
+    };
+    addShortResponses(100);
+    ASSERT_FALSE(m_finishedAt.contains(1)) << "the late response waits as long as the others use the whole rate";
+    const TimePoint expeditedAt = m_now;
+    m_schedule.expedite(link(0));
+    addStream(0, 2, 50'000, m_now - 10ms);
+    addShortResponses(200);
+    ASSERT_TRUE(m_finishedAt.contains(1) && m_finishedAt.contains(2));
+    EXPECT_LT(Start + m_finishedAt.at(1) - expeditedAt, 400ms);
+}
+
+// A link that a later process of the host opens at the same address in memory must not inherit it.
+TEST_F(SendScheduleTest, RemovedLinkIsNoLongerExpedited)
+{
+    m_schedule.expedite(link(0));
+    m_schedule.removeLink(link(0));
+    addStream(0, 1, 280'000);
+    addStream(1, 2, 10'000);
+    runFor(1s);
+    EXPECT_LT(m_finishedAt.at(2), m_finishedAt.at(1));
+}
+
 TEST_F(SendScheduleTest, UsesRateWithoutExceedingIt)
 {
     addStream(0, 1, 100'000'000);
