--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -269,8 +269,9 @@
                 } else {
                     const std::size_t target = indexOf(concrete.host);
                     ToTarget content;
-                    if constexpr (std::is_same_v<Action, entryaction::SendCancel>
-                                  || std::is_same_v<Action, entryaction::SendWithdraw>) {
+                    if constexpr (std::is_same_v<
+                                      Action,
+                                      entryaction::SendCancel> || std::is_same_v<Action, entryaction::SendWithdraw>) {
                         content = concrete.attempt;
                     } else {
                         content = concrete.request;
