[node] Finish links also before the exit of a node with work left

What callers can see: a response that the node of their target has sent is cut when that node exits at the end of its grace time while it still has other work, such as an attempt with a late deadline or a caller that reads slowly.

The order of the steps from SIGTERM to the exit is a core without I/O now (NodeDrain).

--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -6,6 +6,7 @@
 #include "jasminemast/node/callserver.h"
 #include "jasminemast/node/controlplane.h"
 #include "jasminemast/node/entryproxy.h"
+#include "jasminemast/node/nodedrain.h"
 #include "jasminemast/node/operatorapi.h"
 #include "jasminemast/node/targetproxy.h"
 #include "jasminemast/support/metrics.h"
@@ -37,13 +38,8 @@
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
     void beginDrain();
     void checkDrained();
-    /// True while the node drains and exits even if calls are open.
-    [[nodiscard]] bool hasExitTime() const
-    {
-        return m_isDraining && m_drain.grace.count() > 0;
-    }
-    /// Starts the exit of a node that has nothing left to do.
-    void beginExit();
+    void perform(DrainStep step);
+    [[nodiscard]] DrainWork drainWork() const;
     /// Has the peer send its responses on \p link first.
     static void announceExit(const std::shared_ptr<Link> &link);
     void detectPause();
@@ -81,11 +77,7 @@
     OperatorApi m_operatorApi;
     Timer m_drainTimer;
     Timer m_pauseTimer;
-    bool m_isDraining = false;
-    bool m_isExitAnnounced = false;
-    DrainSettings m_drain; ///< as of the start of the drain
-    TimePoint m_drainStartedAt;
-    std::optional<TimePoint> m_exitStartedAt; ///< set once nothing is left to do but to close the links
+    std::optional<NodeDrain> m_drain; ///< set once the node drains
 };
 
 } // namespace jasminemast
--- /dev/null
+++ b/include/jasminemast/node/nodedrain.h
@@ -0,0 +1,88 @@
+// The order of the steps from SIGTERM to the exit of a node. No I/O.
+#pragma once
+
+#include "jasminemast/settings/nodesettings.h"
+#include "jasminemast/support/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace jasminemast
+{
+
+/// What keeps a draining node from its exit.
+struct DrainWork
+{
+    std::size_t calls = 0; ///< calls of its callers without a complete response
+    std::size_t unwrittenResponses = 0; ///< requests of its callers whose response is not completely written
+    std::size_t attempts = 0; ///< attempts that its target runs, or that wait for it
+    bool hasQueuedFrames = false; ///< some frames for other nodes are not written
+    std::size_t finishingLinks = 0; ///< see LinkPool::finishingLinks()
+    TimePoint lastActivity; ///< when a caller or another node last sent a request
+};
+
+/// What the owner of a NodeDrain is to do.
+enum class DrainStep : std::uint8_t {
+    AnnounceExit, ///< announce on all links, also on those opened from now on, that the node exits soon
+    DrainTarget, ///< refuse new calls for the target beside the node
+    DrainEntry, ///< ask callers to close their connections after the next response
+    StopAccepting, ///< accept no further connections of callers, and close each after its response
+    CloseIdleConnections, ///< close the connections of callers without an open request
+    FinishLinks, ///< send nothing new on the links, and close each once its peer has read everything
+    Exit, ///< end the process
+};
+using DrainSteps = std::vector<DrainStep>;
+
+/// The drain of one node. Without a grace time it lasts until all calls have ended.
+///
+/// Invariants: FinishLinks comes before Exit, unless the process was paused until its last moment. Before the time is
+/// over, FinishLinks comes only if no work is left after CloseIdleConnections, so that each request that was read is
+/// answered.
+class NodeDrain
+{
+public:
+    NodeDrain(const DrainSettings &settings, TimePoint startedAt)
+        : m_settings(settings)
+        , m_startedAt(startedAt)
+    {
+    }
+
+    /// Returns the steps that are due at \p now. Steps before FinishLinks may be repeated.
+    DrainSteps tick(const DrainWork &work, TimePoint now);
+
+    /// True if the node exits even though calls are open.
+    [[nodiscard]] bool hasExitTime() const
+    {
+        return m_settings.grace.count() > 0;
+    }
+    /// When calls end that are still open; only if the node has an exit time.
+    [[nodiscard]] TimePoint latestDeadline() const
+    {
+        return m_startedAt + m_settings.grace;
+    }
+    /// How long the replies to withdrawn attempts may take, so that time is left to write the last responses.
+    [[nodiscard]] Duration withdrawTimeout() const
+    {
+        return m_settings.flush / 2;
+    }
+    [[nodiscard]] bool isExitAnnounced() const
+    {
+        return m_isExitAnnounced;
+    }
+
+private:
+    [[nodiscard]] bool isExitDue(const DrainWork &work, TimePoint now) const;
+    /// Adds the steps that make callers and other nodes stop sending requests.
+    void addLeavingSteps(DrainSteps &steps, TimePoint now);
+    [[nodiscard]] bool isIdle(const DrainWork &work, TimePoint now) const;
+
+    DrainSettings m_settings;
+    TimePoint m_startedAt;
+    bool m_isExitAnnounced = false;
+    bool m_hasClosedIdleConnections = false;
+    std::optional<TimePoint> m_linksFinishedAt; ///< when FinishLinks was returned
+};
+
+} // namespace jasminemast
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -14,13 +14,6 @@
 {
 
 constexpr Milliseconds DrainCheckInterval {20};
-/// A draining node exits after this time without work: a caller would have sent its next request by then.
-constexpr Milliseconds DrainIdleTime {500};
-/// Before its exit, a node has its peers send their responses first for this long. Most calls have ended by then, so
-/// that others wait little for the rest.
-constexpr Milliseconds ExpediteTime {1'500};
-/// A peer that does not close its end of a link within this time is cut off or paused.
-constexpr Milliseconds MaxLinkCloseTime {1'000};
 /// After a shorter pause, the platform has not closed its connections yet.
 constexpr Milliseconds MinPauseForReread {1'500};
 constexpr Milliseconds PauseCheckInterval {100};
@@ -169,7 +162,7 @@
         m_metrics.count(Counter::LinksUp);
         logEvent(Event::LinkUp, {{"peer", link->peer().host.value()}});
         if (link->isOutgoing()) {
-            if (m_isExitAnnounced) {
+            if (m_drain && m_drain->isExitAnnounced()) {
                 announceExit(link);
             }
             m_entryProxy.onLinkUp(link);
@@ -222,16 +215,14 @@
 
 void Node::beginDrain()
 {
-    if (m_isDraining) {
+    if (m_drain) {
         return;
     }
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
-    m_isDraining = true;
-    m_drain = m_settings.drain;
-    m_drainStartedAt = m_clock.now();
+    m_drain.emplace(m_settings.drain, m_clock.now());
     m_control.beginDrain();
-    if (hasExitTime()) {
-        m_entryProxy.limitDeadlines(m_drainStartedAt + m_drain.grace, m_drain.flush / 2);
+    if (m_drain->hasExitTime()) {
+        m_entryProxy.limitDeadlines(m_drain->latestDeadline(), m_drain->withdrawTimeout());
     }
     m_drainTimer.startRepeating(DrainCheckInterval);
     checkDrained();
@@ -242,57 +233,48 @@
     link->send(static_cast<FrameType>(CallFrame::Announce), encodeMessage(AnnounceMessage {EndpointId(), true}));
 }
 
+DrainWork Node::drainWork() const
+{
+    return {m_entryProxy.openCalls(),        m_callerServer.open(),
+            m_targetProxy.core().accepted(), m_links.hasPending(),
+            m_links.finishingLinks(),        std::max(m_entryProxy.lastActivity(), m_targetProxy.lastArrival())};
+}
+
 void Node::checkDrained()
 {
-    const Duration since = m_clock.now() - m_drainStartedAt;
-    if (hasExitTime() && since >= m_drain.grace + m_drain.flush) {
-        m_entryProxy.logOpenCalls();
-        m_loop.stop();
-        return;
+    for (const DrainStep step : m_drain->tick(drainWork(), m_clock.now())) {
+        perform(step);
     }
-    if (hasExitTime() && !m_isExitAnnounced && since >= m_drain.grace - ExpediteTime) {
-        m_isExitAnnounced = true;
+}
+
+void Node::perform(DrainStep step)
+{
+    switch (step) {
+    case DrainStep::AnnounceExit:
         m_links.forEachUp(&Node::announceExit);
-    }
-    if (m_exitStartedAt) {
-        if (m_links.finishingLinks() == 0 || m_clock.now() - *m_exitStartedAt >= MaxLinkCloseTime) {
-            m_loop.stop();
-        }
-        return;
-    }
-    if (since >= m_drain.serve) {
+        break;
+    case DrainStep::DrainTarget:
         m_targetProxy.beginDrain();
-    }
-    // Serve callers that do not know yet that the node is leaving.
-    if (since + DrainIdleTime < m_drain.linger) {
-        return;
-    }
-    m_entryProxy.beginDrain();
-    if (since < m_drain.linger && hasExitTime()) {
-        return;
-    }
-    m_callerServer.stopAccepting();
-    if (hasExitTime()) {
-        // Otherwise a request that arrives on an idle connection just before the exit would be cut off.
+        break;
+    case DrainStep::DrainEntry:
+        m_entryProxy.beginDrain();
+        break;
+    case DrainStep::StopAccepting:
+        m_callerServer.stopAccepting();
+        break;
+    case DrainStep::CloseIdleConnections:
         m_callerServer.closeIdleConnections();
+        break;
+    case DrainStep::FinishLinks:
+        // What a peer still sends can no longer be answered, so it must not run either.
+        m_targetProxy.beginDrain();
+        m_links.finishSending();
+        break;
+    case DrainStep::Exit:
+        m_entryProxy.logOpenCalls();
+        m_loop.stop();
+        break;
     }
-    const bool busy = m_entryProxy.openCalls() > 0 || m_targetProxy.core().accepted() > 0 || m_callerServer.open() > 0;
-    if (busy || m_links.hasPending() || since < m_drain.linger) {
-        return;
-    }
-    // With a grace period, lingering has used the available time: do not wait for idle callers as well.
-    const TimePoint last = std::max({m_drainStartedAt, m_entryProxy.lastActivity(), m_targetProxy.lastArrival()});
-    if (hasExitTime() || m_clock.now() - last >= DrainIdleTime) {
-        beginExit();
-    }
-}
-
-void Node::beginExit()
-{
-    m_exitStartedAt = m_clock.now();
-    // What a peer still sends can no longer be answered, so it must not run either.
-    m_targetProxy.beginDrain();
-    m_links.finishSending();
 }
 
 void Node::updateRequestLimits()
--- /dev/null
+++ b/lib/node/nodedrain.cpp
@@ -0,0 +1,83 @@
+// Decides when each step of a drain is due.
+#include "jasminemast/node/nodedrain.h"
+
+#include <algorithm>
+
+namespace jasminemast
+{
+
+namespace
+{
+
+/// A node without an exit time exits after this time without work: a caller would have sent its next request by then.
+constexpr Milliseconds IdleTime {500};
+/// Before its exit, a node has its peers send their responses first for this long. Most calls have ended by then, so
+/// that others wait little for the rest.
+constexpr Milliseconds ExpediteTime {1'500};
+/// A peer that does not close its end of a link within this time is cut off or paused.
+constexpr Milliseconds MaxLinkCloseTime {1'000};
+
+} // namespace
+
+DrainSteps NodeDrain::tick(const DrainWork &work, TimePoint now)
+{
+    if (isExitDue(work, now)) {
+        return {DrainStep::Exit};
+    }
+    DrainSteps steps;
+    if (hasExitTime() && !m_isExitAnnounced && now >= latestDeadline() - ExpediteTime) {
+        m_isExitAnnounced = true;
+        steps.push_back(DrainStep::AnnounceExit);
+    }
+    if (m_linksFinishedAt) {
+        return steps;
+    }
+    const bool isTimeOver = hasExitTime() && now >= latestDeadline() + m_settings.flush;
+    const bool canFinish
+        = (hasExitTime() ? m_hasClosedIdleConnections : now - m_startedAt >= m_settings.linger) && isIdle(work, now);
+    addLeavingSteps(steps, now);
+    if (isTimeOver || canFinish) {
+        m_linksFinishedAt = now;
+        steps.push_back(DrainStep::FinishLinks);
+    }
+    return steps;
+}
+
+bool NodeDrain::isExitDue(const DrainWork &work, TimePoint now) const
+{
+    if (hasExitTime() && now >= latestDeadline() + m_settings.flush + m_settings.flush / 2) {
+        return true;
+    }
+    return m_linksFinishedAt && (work.finishingLinks == 0 || now - *m_linksFinishedAt >= MaxLinkCloseTime);
+}
+
+void NodeDrain::addLeavingSteps(DrainSteps &steps, TimePoint now)
+{
+    const Duration since = now - m_startedAt;
+    if (since >= m_settings.serve) {
+        steps.push_back(DrainStep::DrainTarget);
+    }
+    // Serve callers that do not know yet that the node is leaving.
+    const bool isLingering = since < m_settings.linger;
+    if (since >= m_settings.linger - IdleTime) {
+        steps.push_back(DrainStep::DrainEntry);
+        if (!isLingering || !hasExitTime()) {
+            steps.push_back(DrainStep::StopAccepting);
+        }
+    }
+    if (!isLingering && hasExitTime()) {
+        steps.push_back(DrainStep::CloseIdleConnections);
+        m_hasClosedIdleConnections = true;
+    }
+}
+
+bool NodeDrain::isIdle(const DrainWork &work, TimePoint now) const
+{
+    if (work.calls > 0 || work.unwrittenResponses > 0 || work.attempts > 0 || work.hasQueuedFrames) {
+        return false;
+    }
+    // With an exit time, lingering has used the available time: do not wait for idle callers as well.
+    return hasExitTime() || now - std::max(m_startedAt, work.lastActivity) >= IdleTime;
+}
+
+} // namespace jasminemast
--- /dev/null
+++ b/unittests/node/nodedraintest.cpp
@@ -0,0 +1,94 @@
+// The steps of a drain on a test clock.
+#include "jasminemast/node/nodedrain.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+using namespace jasminemast;
+using namespace std::chrono_literals;
+using testing::Contains;
+using testing::ElementsAre;
+using testing::Not;
+
+namespace
+{
+
+const TimePoint Start {1h};
+const DrainSettings WithExitTime {500ms, 1'000ms, 5'000ms, 200ms};
+const DrainSettings WithoutExitTime {0ms, 500ms, 0ms, 200ms};
+
+DrainWork runningAttempt()
+{
+    DrainWork work;
+    work.attempts = 1;
+    work.finishingLinks = 1;
+    return work;
+}
+
+} // namespace
+
+TEST(NodeDrainTest, LeavesInOrder)
+{
+    NodeDrain drain(WithExitTime, Start);
+    const DrainWork work = runningAttempt();
+    EXPECT_TRUE(drain.tick(work, Start + 499ms).empty());
+    EXPECT_THAT(drain.tick(work, Start + 500ms), ElementsAre(DrainStep::DrainTarget, DrainStep::DrainEntry));
+    EXPECT_THAT(drain.tick(work, Start + 1s),
+                ElementsAre(DrainStep::DrainTarget, DrainStep::DrainEntry, DrainStep::StopAccepting,
+                            DrainStep::CloseIdleConnections));
+    EXPECT_FALSE(drain.isExitAnnounced());
+    EXPECT_THAT(drain.tick(work, Start + 3'500ms), Contains(DrainStep::AnnounceExit));
+    EXPECT_TRUE(drain.isExitAnnounced());
+    EXPECT_THAT(drain.tick(work, Start + 3'520ms), Not(Contains(DrainStep::AnnounceExit)));
+}
+
+// Responses that other nodes have not read yet are lost if the process ends with open links.
+TEST(NodeDrainTest, LinksAreFinishedBeforeTheExitOfABusyNode)
+{
+    NodeDrain drain(WithExitTime, Start);
+    const DrainWork work = runningAttempt();
+    EXPECT_THAT(drain.tick(work, Start + 5'199ms), Not(Contains(DrainStep::FinishLinks)));
+    const DrainSteps atEnd = drain.tick(work, Start + 5'200ms);
+    EXPECT_THAT(atEnd, Contains(DrainStep::FinishLinks));
+    EXPECT_THAT(atEnd, Not(Contains(DrainStep::Exit)));
+    EXPECT_TRUE(drain.tick(work, Start + 5'299ms).empty()) << "the peer has not read everything";
+    EXPECT_THAT(drain.tick(work, Start + 5'300ms), ElementsAre(DrainStep::Exit));
+}
+
+TEST(NodeDrainTest, ExitsOncePeersHaveClosedTheirLinks)
+{
+    NodeDrain drain(WithExitTime, Start);
+    drain.tick(DrainWork {}, Start + 1s);
+    EXPECT_THAT(drain.tick(DrainWork {}, Start + 1'020ms), Contains(DrainStep::FinishLinks));
+    DrainWork slowPeer;
+    slowPeer.finishingLinks = 1;
+    EXPECT_TRUE(drain.tick(slowPeer, Start + 1'040ms).empty());
+    EXPECT_THAT(drain.tick(DrainWork {}, Start + 1'060ms), ElementsAre(DrainStep::Exit));
+}
+
+// A request that arrives just before its connection is closed would get no answer.
+TEST(NodeDrainTest, RequestReadWhileClosingIdleConnectionsIsAnsweredBeforeTheLinksFinish)
+{
+    for (const DrainSettings &settings : {WithExitTime}) {
+        NodeDrain drain(settings, Start);
+        const DrainSteps first = drain.tick(DrainWork {}, Start + 1s);
+        EXPECT_THAT(first, Contains(DrainStep::CloseIdleConnections));
+        EXPECT_THAT(first, Not(Contains(DrainStep::FinishLinks)));
+        DrainWork request;
+        request.calls = 1;
+        request.lastActivity = Start + 1'010ms;
+        EXPECT_THAT(drain.tick(request, Start + 1'020ms), Not(Contains(DrainStep::FinishLinks)));
+        request.calls = 0;
+        EXPECT_THAT(drain.tick(request, Start + 1'510ms), Contains(DrainStep::FinishLinks));
+    }
+}
+
+TEST(NodeDrainTest, WithoutExitTimeWaitsForOpenCalls)
+{
+    NodeDrain drain(WithoutExitTime, Start);
+    const DrainSteps steps = drain.tick(runningAttempt(), Start + 10min);
+    EXPECT_THAT(steps, Contains(DrainStep::StopAccepting));
+    EXPECT_THAT(steps, Not(Contains(DrainStep::CloseIdleConnections))) << "callers may be about to send a request";
+    EXPECT_THAT(steps, Not(Contains(DrainStep::AnnounceExit)));
+    EXPECT_THAT(drain.tick(runningAttempt(), Start + 11min), Not(Contains(DrainStep::FinishLinks)));
+}
