[node] Close idle connections before a node without an exit time finishes its links

What callers can see: a request on an open connection is read and ends with a closed connection, without an answer.

Cause: since a node that has nothing to do waits for its peers to close their links, up to a second, before it ends. With no grace time its callers' connections stayed open in that time, so that requests were read which it could no longer pass on.

The node closes them first now, and finishes its links only if nothing was read meanwhile. RequestReadWhileClosingIdleConnectionsIsAnsweredBeforeTheLinksFinish fails without the change.

--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -75,7 +75,7 @@
 private:
     [[nodiscard]] bool isExitDue(const DrainWork &work, TimePoint now) const;
     /// Adds the steps that make callers and other nodes stop sending requests.
-    void addLeavingSteps(DrainSteps &steps, TimePoint now);
+    void addLeavingSteps(DrainSteps &steps, const DrainWork &work, TimePoint now);
     [[nodiscard]] bool isIdle(const DrainWork &work, TimePoint now) const;
 
     DrainSettings m_settings;
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -33,9 +33,8 @@
         return steps;
     }
     const bool isTimeOver = hasExitTime() && now >= latestDeadline() + m_settings.flush;
-    const bool canFinish
-        = (hasExitTime() ? m_hasClosedIdleConnections : now - m_startedAt >= m_settings.linger) && isIdle(work, now);
-    addLeavingSteps(steps, now);
+    const bool canFinish = m_hasClosedIdleConnections && isIdle(work, now);
+    addLeavingSteps(steps, work, now);
     if (isTimeOver || canFinish) {
         m_linksFinishedAt = now;
         steps.push_back(DrainStep::FinishLinks);
@@ -51,7 +50,7 @@
     return m_linksFinishedAt && (work.finishingLinks == 0 || now - *m_linksFinishedAt >= MaxLinkCloseTime);
 }
 
-void NodeDrain::addLeavingSteps(DrainSteps &steps, TimePoint now)
+void NodeDrain::addLeavingSteps(DrainSteps &steps, const DrainWork &work, TimePoint now)
 {
     const Duration since = now - m_startedAt;
     if (since >= m_settings.serve) {
@@ -65,7 +64,7 @@
             steps.push_back(DrainStep::StopAccepting);
         }
     }
-    if (!isLingering && hasExitTime()) {
+    if (!isLingering && (hasExitTime() || isIdle(work, now))) {
         steps.push_back(DrainStep::CloseIdleConnections);
         m_hasClosedIdleConnections = true;
     }
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -69,7 +69,7 @@
 // A request that arrives just before its connection is closed would get no answer.
 TEST(NodeDrainTest, RequestReadWhileClosingIdleConnectionsIsAnsweredBeforeTheLinksFinish)
 {
-    for (const DrainSettings &settings : {WithExitTime}) {
+    for (const DrainSettings &settings : {WithExitTime, WithoutExitTime}) {
         NodeDrain drain(settings, Start);
         const DrainSteps first = drain.tick(DrainWork {}, Start + 1s);
         EXPECT_THAT(first, Contains(DrainStep::CloseIdleConnections));
