[node] Refuse attempts on links that were accepted last before a node exits

Cause: with a registry, a node learns that another one leaves only over a link to it. One without a link opens one, and its first attempt arrives in the moment in which the leaving node has nothing left to do and shuts its links down: the refusal is dropped. A call that may not be repeated ends as unknown, others lose a retry.

A node without work now stops accepting links first, and goes on refusing on open ones for 200 ms. New connections are refused by the kernel then, which says that an attempt was not sent. AttemptsOnLinksAcceptedLastAreRefusedBeforeTheLinksFinish guards it; before, FinishLinks was due at once. What remains: an attempt that crosses the end after these 200 ms, when all targets of a service leave at once.

--- a/include/jasminemast/net/linkpool.h
+++ b/include/jasminemast/net/linkpool.h
@@ -38,6 +38,8 @@
         return m_links.size();
     }
 
+    /// Accepts no further links.
+    void stopAccepting();
     /// Accepts no further links, and closes each link once its peer has everything that was sent on it.
     void finishSending();
     /// Number of links that finishSending() has not closed yet; links opened later do not count.
@@ -80,7 +82,7 @@
     IoWatcher m_acceptWatcher;
     Timer m_checkTimer;
     TimePoint m_lastCheck;
-    bool m_isSendingFinished = false;
+    bool m_isAccepting = true;
     std::set<std::shared_ptr<Link>> m_links;
     /// Invariant: every link here is outgoing, open and in m_links.
     std::unordered_map<HostId, std::shared_ptr<Link>> m_outgoingLinks;
--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -30,6 +30,7 @@
     DrainEntry, ///< ask callers to close their connections after the next response
     StopAccepting, ///< accept no further connections of callers, and close each after its response
     CloseIdleConnections, ///< close the connections of callers without an open request
+    StopAcceptingLinks, ///< accept no further links; requests on open ones are still refused
     FinishLinks, ///< send nothing new on the links, and close each once its peer has read everything
     Exit, ///< end the process
 };
@@ -37,9 +38,9 @@
 
 /// The drain of one node. Without a grace time it lasts until all calls have ended.
 ///
-/// Invariants: FinishLinks comes before Exit, unless the process was paused until its last moment. Before the time is
-/// over, FinishLinks comes only if no work is left after CloseIdleConnections, so that each request that was read is
-/// answered.
+/// Invariants: StopAcceptingLinks and FinishLinks come before Exit, unless the process was paused until its last
+/// moment. Before the time is over, they come only if no work is left after CloseIdleConnections, so that each request
+/// that was read is answered.
 class NodeDrain
 {
 public:
@@ -73,6 +74,8 @@
     }
 
 private:
+    /// True once \p extra has passed after the grace time.
+    [[nodiscard]] bool isTimeOver(Duration extra, TimePoint now) const;
     [[nodiscard]] bool isExitDue(const DrainWork &work, TimePoint now) const;
     /// Adds the steps that make callers and other nodes stop sending requests.
     void addLeavingSteps(DrainSteps &steps, const DrainWork &work, TimePoint now);
@@ -82,6 +85,7 @@
     TimePoint m_startedAt;
     bool m_isExitAnnounced = false;
     bool m_hasClosedIdleConnections = false;
+    std::optional<TimePoint> m_linksStoppedAt; ///< when StopAcceptingLinks was returned
     std::optional<TimePoint> m_linksFinishedAt; ///< when FinishLinks was returned
 };
 
--- a/lib/net/linkpool.cpp
+++ b/lib/net/linkpool.cpp
@@ -73,11 +73,16 @@
     }
 }
 
-void LinkPool::finishSending()
+void LinkPool::stopAccepting()
 {
-    m_isSendingFinished = true;
+    m_isAccepting = false;
     m_acceptWatcher.stop();
     m_listener.close();
+}
+
+void LinkPool::finishSending()
+{
+    stopAccepting();
     const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
     for (const auto &link : links) {
         link->finishSending();
@@ -146,7 +151,7 @@
     const TimePoint now = m_clock.now();
     const bool wasPaused = now - m_lastCheck > m_settings.heartbeatInterval;
     m_lastCheck = now;
-    if (!m_isSendingFinished) {
+    if (m_isAccepting) {
         m_acceptWatcher.start(m_listener.get(), EV_READ);
     }
     const std::vector<std::shared_ptr<Link>> links(m_links.begin(), m_links.end());
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -265,9 +265,11 @@
     case DrainStep::CloseIdleConnections:
         m_callerServer.closeIdleConnections();
         break;
-    case DrainStep::FinishLinks:
-        // What a peer still sends can no longer be answered, so it must not run either.
+    case DrainStep::StopAcceptingLinks:
         m_targetProxy.beginDrain();
+        m_links.stopAccepting();
+        break;
+    case DrainStep::FinishLinks:
         m_links.finishSending();
         break;
     case DrainStep::Exit:
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -14,6 +14,8 @@
 /// Before its exit, a node has its peers send their responses first for this long. Most calls have ended by then, so
 /// that others wait little for the rest.
 constexpr Milliseconds ExpediteTime {1'500};
+/// Longer than two round trips between regions: an attempt on a link that was accepted last is refused, not dropped.
+constexpr Milliseconds RefusalTime {200};
 /// A peer that does not close its end of a link within this time is cut off or paused.
 constexpr Milliseconds MaxLinkCloseTime {1'000};
 
@@ -32,19 +34,28 @@
     if (m_linksFinishedAt) {
         return steps;
     }
-    const bool isTimeOver = hasExitTime() && now >= latestDeadline() + m_settings.flush;
-    const bool canFinish = m_hasClosedIdleConnections && isIdle(work, now);
+    const bool hasNoWork = m_hasClosedIdleConnections && isIdle(work, now);
     addLeavingSteps(steps, work, now);
-    if (isTimeOver || canFinish) {
+    if (!m_linksStoppedAt && (hasNoWork || isTimeOver(m_settings.flush / 2, now))) {
+        m_linksStoppedAt = now;
+        steps.push_back(DrainStep::StopAcceptingLinks);
+    }
+    const bool canFinish = hasNoWork && m_linksStoppedAt && now - *m_linksStoppedAt >= RefusalTime;
+    if (canFinish || isTimeOver(m_settings.flush, now)) {
         m_linksFinishedAt = now;
         steps.push_back(DrainStep::FinishLinks);
     }
     return steps;
 }
 
+bool NodeDrain::isTimeOver(Duration extra, TimePoint now) const
+{
+    return hasExitTime() && now >= latestDeadline() + extra;
+}
+
 bool NodeDrain::isExitDue(const DrainWork &work, TimePoint now) const
 {
-    if (hasExitTime() && now >= latestDeadline() + m_settings.flush + m_settings.flush / 2) {
+    if (isTimeOver(m_settings.flush + m_settings.flush / 2, now)) {
         return true;
     }
     return m_linksFinishedAt && (work.finishingLinks == 0 || now - *m_linksFinishedAt >= MaxLinkCloseTime);
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -47,6 +47,7 @@
 {
     NodeDrain drain(WithExitTime, Start);
     const DrainWork work = runningAttempt();
+    EXPECT_THAT(drain.tick(work, Start + 5'100ms), Contains(DrainStep::StopAcceptingLinks));
     EXPECT_THAT(drain.tick(work, Start + 5'199ms), Not(Contains(DrainStep::FinishLinks)));
     const DrainSteps atEnd = drain.tick(work, Start + 5'200ms);
     EXPECT_THAT(atEnd, Contains(DrainStep::FinishLinks));
@@ -59,11 +60,30 @@
 {
     NodeDrain drain(WithExitTime, Start);
     drain.tick(DrainWork {}, Start + 1s);
-    EXPECT_THAT(drain.tick(DrainWork {}, Start + 1'020ms), Contains(DrainStep::FinishLinks));
+    drain.tick(DrainWork {}, Start + 1'020ms);
+    EXPECT_THAT(drain.tick(DrainWork {}, Start + 2s), Contains(DrainStep::FinishLinks));
     DrainWork slowPeer;
     slowPeer.finishingLinks = 1;
-    EXPECT_TRUE(drain.tick(slowPeer, Start + 1'040ms).empty());
-    EXPECT_THAT(drain.tick(DrainWork {}, Start + 1'060ms), ElementsAre(DrainStep::Exit));
+    EXPECT_TRUE(drain.tick(slowPeer, Start + 2'040ms).empty());
+    EXPECT_THAT(drain.tick(DrainWork {}, Start + 2'060ms), ElementsAre(DrainStep::Exit));
+}
+
+// Other nodes can't tell a dropped attempt from one that ran.
+TEST(NodeDrainTest, AttemptsOnLinksAcceptedLastAreRefusedBeforeTheLinksFinish)
+{
+    constexpr Milliseconds TwoRoundTrips {80};
+    for (const DrainSettings &settings : {WithExitTime, WithoutExitTime}) {
+        NodeDrain drain(settings, Start);
+        drain.tick(DrainWork {}, Start + 1s);
+        const DrainSteps steps = drain.tick(DrainWork {}, Start + 1'020ms);
+        EXPECT_THAT(steps, Contains(DrainStep::StopAcceptingLinks));
+        EXPECT_THAT(steps, Not(Contains(DrainStep::FinishLinks)));
+        DrainWork refusal;
+        refusal.hasQueuedFrames = true;
+        EXPECT_THAT(drain.tick(refusal, Start + 1'020ms + TwoRoundTrips), Not(Contains(DrainStep::FinishLinks)));
+        EXPECT_THAT(drain.tick(refusal, Start + 3s), Not(Contains(DrainStep::FinishLinks)));
+        EXPECT_THAT(drain.tick(DrainWork {}, Start + 3'020ms), Contains(DrainStep::FinishLinks));
+    }
 }
 
 // A request that arrives just before its connection is closed would get no answer.
@@ -77,9 +97,9 @@
         DrainWork request;
         request.calls = 1;
         request.lastActivity = Start + 1'010ms;
-        EXPECT_THAT(drain.tick(request, Start + 1'020ms), Not(Contains(DrainStep::FinishLinks)));
+        EXPECT_THAT(drain.tick(request, Start + 1'020ms), Not(Contains(DrainStep::StopAcceptingLinks)));
         request.calls = 0;
-        EXPECT_THAT(drain.tick(request, Start + 1'510ms), Contains(DrainStep::FinishLinks));
+        EXPECT_THAT(drain.tick(request, Start + 1'510ms), Contains(DrainStep::StopAcceptingLinks));
     }
 }
 
@@ -90,5 +110,5 @@
     EXPECT_THAT(steps, Contains(DrainStep::StopAccepting));
     EXPECT_THAT(steps, Not(Contains(DrainStep::CloseIdleConnections))) << "callers may be about to send a request";
     EXPECT_THAT(steps, Not(Contains(DrainStep::AnnounceExit)));
-    EXPECT_THAT(drain.tick(runningAttempt(), Start + 11min), Not(Contains(DrainStep::FinishLinks)));
+    EXPECT_THAT(drain.tick(runningAttempt(), Start + 11min), Not(Contains(DrainStep::StopAcceptingLinks)));
 }
