[net] Answer a call whose response is cut before its first byte was forwarded

What callers saw: a closed connection with no answer for a request that was read whole (LOST).

Cause: the head of a response is passed to the HTTP server later in the same iteration of the event loop. When the response is cut in that iteration, since both arrive together or the deadline falls into it, the node closed the connection although nothing had been sent: HttpExchange::abort() queued a 502 and shut the connection down before it was written.

The response is withdrawn instead, and the caller gets the failure that any call without a response gets.

--- a/include/jasminemast/net/httpexchange.h
+++ b/include/jasminemast/net/httpexchange.h
@@ -48,6 +48,9 @@
     void finish();
     /// Closes the connection so that the caller sees an incomplete body.
     void abort();
+    /// Takes back a response that was begun and has not been passed on, so that respond() may follow. Returns false if
+    /// there is none.
+    bool withdrawResponse();
 
     /// Sets a handler called with the number of body bytes sent since its last call.
     void setBytesSentHandler(std::function<void(std::size_t)> handler)
--- a/lib/net/httpexchange.cpp
+++ b/lib/net/httpexchange.cpp
@@ -108,8 +108,23 @@
     m_bodyState = BodyState::Open;
     m_responded = true;
     m_startPending = true;
-    m_server.m_loop.post(
-        [self = shared_from_this(), status, headers, length] { self->startResponse(status, headers, length); });
+    m_server.m_loop.post([self = shared_from_this(), status, headers, length] {
+        if (self->m_startPending) {
+            self->startResponse(status, headers, length);
+        }
+    });
+}
+
+bool HttpExchange::withdrawResponse()
+{
+    if (!m_startPending || m_responseStarted) {
+        return false;
+    }
+    m_startPending = false;
+    m_responded = false;
+    m_bodyState = BodyState::None;
+    m_body.clear();
+    return true;
 }
 
 void HttpExchange::startResponse(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length)
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -240,7 +240,7 @@
         return;
     }
     m_exchange->setBytesSentHandler(nullptr);
-    if (m_progress.isStarted) {
+    if (m_progress.isStarted && !m_exchange->withdrawResponse()) {
         m_exchange->abort();
         return;
     }
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -1,4 +1,4 @@
-// Responses to callers when the host that runs their call is removed from the host list.
+// Responses to callers when the host that runs their call is removed from the host list, or cuts its response.
 #include "jasminemast/node/entryproxy.h"
 
 #include "../net/testpeer.h"
@@ -26,7 +26,8 @@
     Link::Handlers entryHandlers()
     {
         Link::Handlers handlers;
-        handlers.onFrame = [](const std::shared_ptr<Link> &, FrameType, std::string_view) {
+        handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view payload) {
+            m_remote.onFrame(link, static_cast<CallFrame>(type), payload);
         };
         handlers.onUp = [this](const std::shared_ptr<Link> &link) {
             m_entryProxy.onLinkUp(link);
@@ -37,13 +38,16 @@
         return handlers;
     }
 
-    /// The target's node accepts calls and never replies.
+    /// The target's node accepts calls and calls m_onOpen for each.
     Link::Handlers targetHostHandlers()
     {
         Link::Handlers handlers;
-        handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view) {
-            m_openFrames += type == static_cast<FrameType>(CallFrame::Open) ? 1 : 0;
+        handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view payload) {
             m_targetHostLink = link;
+            if (type == static_cast<FrameType>(CallFrame::Open)) {
+                ++m_openFrames;
+                m_onOpen(decodeMessage<OpenMessage>(payload, ResultCode::FrameMalformed).stream);
+            }
         };
         handlers.onUp = [](const std::shared_ptr<Link> &) {
         };
@@ -74,6 +78,8 @@
     NodeSettings m_settings = settingsOf(m_callerAddress, m_targetHostAddress.port);
     std::size_t m_openFrames = 0;
     std::shared_ptr<Link> m_targetHostLink;
+    std::function<void(std::uint64_t stream)> m_onOpen = [](std::uint64_t /*stream*/) {
+    };
     LinkPool m_targetHost {m_loop,
                            m_clock,
                            LinkIdentity {HostId("target-host"), Incarnation(7)},
@@ -121,3 +127,19 @@
     ASSERT_TRUE(runUntil(m_loop, [&] { return m_statuses.size() == Calls; }));
     EXPECT_EQ(m_statuses, std::vector<unsigned>(Calls, 502));
 }
+
+TEST_F(EntryProxyTest, ResponseCutBeforeItsFirstByteWasForwardedBecomesAFailureResponse)
+{
+    m_onOpen = [this](std::uint64_t stream) {
+        HeadMessage head;
+        head.stream = stream;
+        head.status = 200;
+        head.length = 10;
+        m_targetHostLink->send(static_cast<FrameType>(CallFrame::Head), encodeMessage(head));
+        const auto code = static_cast<std::uint32_t>(number(ResultCode::AnswerCut));
+        m_targetHostLink->send(static_cast<FrameType>(CallFrame::End), encodeMessage(EndMessage {stream, code, ""}));
+    };
+    call();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {502}) << "a connection that is closed has status 0";
+}
