[net] Read what a target has sent before a transfer fails on a failed send

What callers can see: 502 with an unknown outcome, or a response that breaks off, though the target has responded. A target may answer before it has read the whole request (413, 503) and close; the rest of the request then resets the connection, and the next send fails.

Cause: TargetConnection::flush() failed the transfer on a failed send. What had arrived was read only once, up to 16 KB, and not at all if the socket was watched for writing only.

Evidence: FailedSendKeepsResponseThatTheTargetSentBefore fails in 3 of 3 runs before the change ("Broken pipe", 16,314 of 40,000 bytes) and passes after it.

FailedSendLeavesResponseWithoutLengthIncomplete passes before and after: a reset must not complete a response that ends with its connection.

--- a/lib/net/targetconnection.cpp
+++ b/lib/net/targetconnection.cpp
@@ -98,6 +98,7 @@
     m_transfer = transfer;
     m_head = requestHead(transfer->m_request);
     m_written = 0;
+    m_sendError.clear();
     m_receivedSome = false;
     m_isForeign = false;
     m_foreignResponses = 0;
@@ -191,13 +192,10 @@
             continue;
         }
         if (size < 0 && errno != EAGAIN) {
-            const std::string detail = std::strerror(errno);
-            m_client.m_loop.post([self = shared_from_this(), transfer = m_transfer, detail] {
-                if (self->m_transfer == transfer) {
-                    self->fail(ResultCode::HttpTransferFailed, detail);
-                }
-            });
-            return;
+            // The target may have responded before it closed the connection; reading ends after what has arrived.
+            m_sendError = std::strerror(errno);
+            ::shutdown(m_socket.get(), SHUT_RDWR);
+            break;
         }
         if (size < 0) {
             break;
@@ -221,6 +219,10 @@
         fail(ResultCode::HttpTransferFailed, std::strerror(errno));
         return;
     }
+    if (size == 0 && !m_sendError.empty()) {
+        fail(ResultCode::HttpTransferFailed, m_sendError);
+        return;
+    }
     if (size == 0) {
         try {
             m_parser.parseEnd();
@@ -374,8 +376,8 @@
     if (!m_socket.isOpen()) {
         return;
     }
-    const bool isWriting
-        = m_transfer != nullptr && (m_connecting || m_written < m_head.size() + m_transfer->m_request.body.size());
+    const bool isWriting = m_transfer != nullptr && m_sendError.empty()
+        && (m_connecting || m_written < m_head.size() + m_transfer->m_request.body.size());
     const bool isReading = !m_connecting && (m_transfer == nullptr || !m_transfer->m_paused);
     const int events = (isReading ? EV_READ : 0) | (isWriting ? EV_WRITE : 0);
     if (events == 0) {
--- a/lib/net/targetconnection.h
+++ b/lib/net/targetconnection.h
@@ -55,6 +55,7 @@
     std::shared_ptr<TargetTransfer> m_transfer; ///< null while the connection is idle
     std::string m_head; ///< of the request
     std::size_t m_written = 0; ///< bytes of head and body that the kernel has accepted
+    std::string m_sendError; ///< why the rest of the request can't be sent; empty if it can
     std::string m_input; ///< received bytes that have not been parsed
     bool m_connecting = false;
     bool m_wasUsed = false; ///< has carried a complete exchange
--- a/unittests/net/targetclienttest.cpp
+++ b/unittests/net/targetclienttest.cpp
@@ -314,6 +314,38 @@
     EXPECT_LT(outcome->body.size(), 64U << 10U);
 }
 
+// A target may answer before it has read the whole request; closing the connection then resets it.
+TEST_F(TargetClientTest, FailedSendKeepsResponseThatTheTargetSentBefore)
+{
+    constexpr std::size_t ResponseBytes = 40'000;
+    TargetClientRequest toSend = request("a", true);
+    toSend.body = std::string(8 << 20, 'x');
+    const auto outcome = start(std::move(toSend));
+    TestPeer peer = acceptPeer(m_loop, m_listener);
+    awaitRequest(peer, "a");
+    const std::string early = response("a", std::string(ResponseBytes, 'r'), "Connection: close\r\n");
+    ASSERT_EQ(peer.write(early), early.size());
+    peer.close();
+    awaitEnd(outcome);
+    EXPECT_EQ(outcome->result->code, ResultCode::Ok) << outcome->result->detail;
+    EXPECT_EQ(outcome->body.size(), ResponseBytes);
+}
+
+// The reset may have dropped the rest of a response whose only end is that of its connection.
+TEST_F(TargetClientTest, FailedSendLeavesResponseWithoutLengthIncomplete)
+{
+    TargetClientRequest toSend = request("a", true);
+    toSend.body = std::string(8 << 20, 'x');
+    const auto outcome = start(std::move(toSend));
+    TestPeer peer = acceptPeer(m_loop, m_listener);
+    awaitRequest(peer, "a");
+    peer.write("HTTP/1.1 200 OK\r\nX-Id: a\r\n\r\nabc");
+    peer.close();
+    awaitEnd(outcome);
+    EXPECT_NE(outcome->result->code, ResultCode::Ok);
+    EXPECT_TRUE(outcome->result->requestSent);
+}
+
 TEST_F(TargetClientTest, CancelClosesTheConnection)
 {
     const auto outcome = start(request("a"));
