[net] Serve requests that arrived before the listener is closed

What callers can see: a request that was sent completely to a draining node gets a reset, with neither an answer nor a refusal.

Cause: HttpServer::stopAccepting() closed the listener with connections in its backlog. The kernel resets these, although their requests may have arrived. A busy or slow process has more of them.

A connection that is opened between the last accept and the close is still reset.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -66,6 +66,8 @@
         int sweepsSinceActivity = 0; ///< since the last request activity on the connection
     };
 
+    /// Accepts the connections that callers have opened already: closing the listener would reset them.
+    void acceptPending();
     void scheduleRun();
     void scheduleDisconnectSweep();
     void recordActivity(MHD_Connection *connection);
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -3,6 +3,7 @@
 
 #include "mhdconnection.h"
 
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -236,6 +237,7 @@
     if (m_quiesced) {
         return;
     }
+    acceptPending();
     m_quiesced = true;
     const MHD_socket listener = MHD_quiesce_daemon(m_daemon);
     if (listener != MHD_INVALID_SOCKET) {
@@ -243,6 +245,17 @@
     }
 }
 
+void HttpServer::acceptPending()
+{
+    // Each run accepts a few connections; more callers than these may not keep the listener open.
+    constexpr int MaxRuns = 100;
+    const auto *info = MHD_get_daemon_info(m_daemon, MHD_DAEMON_INFO_LISTEN_FD);
+    pollfd listener {info->listen_fd, POLLIN, 0};
+    for (int i = 0; i < MaxRuns && poll(&listener, 1, 0) > 0; ++i) {
+        run();
+    }
+}
+
 void HttpServer::closeIdleConnections()
 {
     // Requests that have arrived already are read first.
--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -363,6 +363,24 @@
     EXPECT_NE(peer.read().find("Connection: close"), std::string::npos);
 }
 
+// The kernel resets connections that nobody has accepted when their listener is closed.
+TEST_F(HttpServerTest, ServesRequestsThatArrivedBeforeItStoppedAccepting)
+{
+    startEcho();
+    constexpr std::size_t Callers = 40;
+    std::vector<TestPeer> peers;
+    for (std::size_t i = 0; i < Callers; ++i) {
+        peers.emplace_back(m_address);
+        ASSERT_GT(peers.back().write("GET / HTTP/1.1\r\nHost: a\r\n\r\n"), 0U);
+    }
+    m_server->stopAccepting();
+    m_server->closeIdleConnections();
+    for (TestPeer &peer : peers) {
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed(); }));
+        EXPECT_TRUE(peer.received("HTTP/1.1 200"));
+    }
+}
+
 TEST_F(HttpServerTest, ClosesIdleConnectionsAndCompletesOpenRequests)
 {
     // Found with deploy/days/power-after-change.toml on hvf-mesh: a request arrived on a keep-alive connection 4.7 s
