[node] End requests that wait for a ticket when their node exits

What callers can see: a request that names a ticket (Jasminemast-Ticket) which hasn't come to a draining node is closed at its exit with neither an answer nor a refusal, and the node logs nothing about it.

Cause: such a request is no call of EntryCore yet. Its wait ends at the deadline that it had on arrival, which the drain doesn't bound; the exit comes first.

Fix: at the end of the grace time the node refuses these requests: 503, not run. A call that begins in time gets the bound.

The fleet of the unit test no longer reports every ticket as reached; no test used that.

--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -65,7 +65,7 @@
     /// Number of calls without a complete response.
     [[nodiscard]] std::size_t openCalls() const
     {
-        return m_calls.size() + m_waitingForTicket;
+        return m_calls.size() + m_waitingForTicket.size();
     }
     [[nodiscard]] const EntryCore &core() const
     {
@@ -81,6 +81,8 @@
     class Sink;
 
     void routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline);
+    /// Ends a request of m_waitingForTicket, whose ticket came too late.
+    void refuseWaiting(const std::shared_ptr<HttpExchange> &exchange);
     void perform(const EntryActions &actions);
     void sendOpen(const entryaction::SendOpen &send);
     void sendFence(const entryaction::SendFence &send);
@@ -112,7 +114,7 @@
     std::set<HostId> m_silentHosts; ///< hosts whose links are silent
     EntryCore m_core;
     std::map<CallId, std::unique_ptr<EntryCall>> m_calls; ///< exactly the open calls of m_core
-    std::size_t m_waitingForTicket = 0; ///< requests that wait for a ticket before their call begins
+    std::set<std::shared_ptr<HttpExchange>> m_waitingForTicket; ///< requests whose call begins with a later ticket
     std::map<HostId, std::shared_ptr<Link>> m_upLinks; ///< outgoing links that are up
     std::set<std::shared_ptr<Link>> m_connecting; ///< links retained until they are up
     std::map<HostId, TimePoint> m_lastConnectAt; ///< latest connection attempt to each host
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -161,19 +161,28 @@
         routeCall(exchange, arrived, deadline);
         return;
     }
-    ++m_waitingForTicket;
+    m_waitingForTicket.insert(exchange);
     m_context.config.whenReached(limits.minTicket, deadline, [this, exchange, arrived, deadline](bool reached) {
-        --m_waitingForTicket;
-        if (reached) {
-            routeCall(exchange, arrived, deadline);
+        if (!m_waitingForTicket.contains(exchange)) {
             return;
         }
-        m_context.metrics.count(Counter::CallsNotRun, ResultCode::TicketNotReached);
-        respondWithFailure(*exchange, m_headers.names, m_context.config.current()->number, Outcome::NotRun,
-                           ResultCode::TicketNotReached, failureHeaders(TimePoint::max()));
+        if (!reached) {
+            refuseWaiting(exchange);
+            return;
+        }
+        m_waitingForTicket.erase(exchange);
+        routeCall(exchange, arrived, std::min(deadline, m_latestDeadline));
     });
 }
 
+void EntryProxy::refuseWaiting(const std::shared_ptr<HttpExchange> &exchange)
+{
+    m_waitingForTicket.erase(exchange);
+    m_context.metrics.count(Counter::CallsNotRun, ResultCode::TicketNotReached);
+    respondWithFailure(*exchange, m_headers.names, m_context.config.current()->number, Outcome::NotRun,
+                       ResultCode::TicketNotReached, failureHeaders(TimePoint::max()));
+}
+
 void EntryProxy::routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline)
 {
     updateConfiguration();
@@ -419,7 +428,7 @@
 
 void EntryProxy::scheduleTick()
 {
-    m_tickTimer.start(m_calls.empty() ? IdleTickInterval : TickInterval);
+    m_tickTimer.start(openCalls() == 0 ? IdleTickInterval : TickInterval);
 }
 
 void EntryProxy::updateSilentLinks()
@@ -443,7 +452,11 @@
     updateConfiguration();
     retryConnecting();
     updateSilentLinks();
-    perform(m_core.tick(m_context.clock.now()));
+    const TimePoint now = m_context.clock.now();
+    perform(m_core.tick(now));
+    while (now >= m_latestDeadline && !m_waitingForTicket.empty()) {
+        refuseWaiting(std::shared_ptr(*m_waitingForTicket.begin()));
+    }
     scheduleTick();
 }
 
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -1,4 +1,4 @@
-// Responses to callers when the host that runs their call is removed from the host list, or cuts its response.
+// Responses to callers when their target's host is removed from the host list or cuts the response, or their node exits.
 #include "jasminemast/node/entryproxy.h"
 
 #include "../net/testpeer.h"
@@ -56,9 +56,10 @@
         return handlers;
     }
 
-    void call()
+    void call(HttpHeaders headers = {})
     {
         HttpClientRequest request;
+        request.headers = std::move(headers);
         request.method = "POST";
         request.url = "http://" + m_callerAddress.toString() + "/";
         request.timeout = 30'000ms;
@@ -143,3 +144,14 @@
     ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
     EXPECT_EQ(m_statuses, std::vector<unsigned> {502}) << "a connection that is closed has status 0";
 }
+
+// Nothing else would end them before the process does.
+TEST_F(EntryProxyTest, EndsCallsThatWaitForATicketWhenTheNodeExits)
+{
+    call({{"Jasminemast-Ticket", "2"}});
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_entryProxy.openCalls() == 1; }));
+    m_entryProxy.limitDeadlines(m_clock.now(), 0ms);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {503});
+    EXPECT_EQ(m_entryProxy.openCalls(), 0U);
+}
--- a/unittests/node/onetargetfleet.h
+++ b/unittests/node/onetargetfleet.h
@@ -5,8 +5,10 @@
 #include "jasminemast/net/socketaddress.h"
 #include "jasminemast/node/views.h"
 
+#include <functional>
 #include <memory>
 #include <utility>
+#include <vector>
 
 namespace jasminemast
 {
@@ -38,9 +40,10 @@
     {
         return m_state;
     }
+    /// No later ticket comes into force.
     void whenReached(TicketNumber /*number*/, TimePoint /*deadline*/, std::function<void(bool)> done) override
     {
-        done(true);
+        m_waiting.push_back(std::move(done));
     }
     [[nodiscard]] const HostView *findHost(const HostId &host) const override
     {
@@ -54,6 +57,7 @@
 private:
     HostView m_targetHost;
     StatePtr m_state;
+    std::vector<std::function<void(bool)>> m_waiting;
     bool m_isListed = true;
 };
 
