[node] Answer the calls of a draining node that was paused beyond its exit time

What callers saw in the test: a node that is stopped (SIGSTOP) while it drains, and goes on after its exit time, closes the connections of its calls with neither an answer nor a refusal. A process that gets no processor time for longer than the flush time (250 ms by default) does the same.

Cause: the exit was due at a fixed time after SIGTERM. The first check after the pause ended the process before the withdrawn attempts could be reported.

Fix: the time for the last responses counts from the first check after the grace time. The platform's kill may come first, as before.

PausedNodeHasTimeForItsLastResponsesAfterThePause fails without the change and passes with it.

LinksAreFinishedBeforeTheExitOfABusyNode jumped over the end of the grace time, which is a pause now. It has a check at that time more and expects the same as before.

--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -38,9 +38,8 @@
 
 /// The drain of one node. Without a grace time it lasts until all calls have ended.
 ///
-/// Invariants: StopAcceptingLinks and FinishLinks come before Exit, unless the process was paused until its last
-/// moment. Before the time is over, they come only if no work is left after CloseIdleConnections, so that each request
-/// that was read is answered.
+/// Invariants: StopAcceptingLinks and FinishLinks come before Exit. Before the time is over, they come only if no work is
+/// left after CloseIdleConnections, so that each request that was read is answered.
 class NodeDrain
 {
 public:
@@ -84,6 +83,8 @@
     DrainSettings m_settings;
     TimePoint m_startedAt;
     bool m_isExitAnnounced = false;
+    /// The first tick after the grace time. The last responses are written after it, also if the process was paused.
+    std::optional<TimePoint> m_graceEndedAt;
     bool m_hasClosedIdleConnections = false;
     std::optional<TimePoint> m_linksStoppedAt; ///< when StopAcceptingLinks was returned
     std::optional<TimePoint> m_linksFinishedAt; ///< when FinishLinks was returned
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -23,6 +23,9 @@
 
 DrainSteps NodeDrain::tick(const DrainWork &work, TimePoint now)
 {
+    if (!m_graceEndedAt && hasExitTime() && now >= latestDeadline()) {
+        m_graceEndedAt = now;
+    }
     if (isExitDue(work, now)) {
         return {DrainStep::Exit};
     }
@@ -50,7 +53,7 @@
 
 bool NodeDrain::isTimeOver(Duration extra, TimePoint now) const
 {
-    return hasExitTime() && now >= latestDeadline() + extra;
+    return m_graceEndedAt && now >= *m_graceEndedAt + extra;
 }
 
 bool NodeDrain::isExitDue(const DrainWork &work, TimePoint now) const
--- a/unittests/node/drainfaulttest.cpp
+++ b/unittests/node/drainfaulttest.cpp
@@ -29,6 +29,10 @@
     "drain": {"serveMs": 0, "lingerMs": 100, "graceMs": 4000, "killMarginMs": 40000},
     "calls": {"defaultDeadlineMs": 60000}
 })";
+constexpr const char *ShortExitSettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 100, "graceMs": 1000, "killMarginMs": 1000},
+    "calls": {"defaultDeadlineMs": 60000}
+})";
 constexpr const char *LateDeadlineSettings = R"({"calls": {"defaultDeadlineMs": 60000}})";
 constexpr const char *SlowUplinkSettings = R"({"links": {"megabitsPerSecond": 8}})";
 const std::vector<std::string> NoViolation;
@@ -153,3 +157,24 @@
     EXPECT_EQ(fleet.countLogged(EntryHost, "NodeDraining"), 1U);
     EXPECT_EQ(fleet.violations(), NoViolation);
 }
+
+// The node used to exit as soon as it went on, since its time was over.
+TEST(DrainFaultTest, NodeThatIsPausedBeyondItsExitTimeAnswersItsCallsFirst)
+{
+    constexpr Milliseconds Pause {3'000};
+    Fleet fleet(2, FleetOptions {.targetSlots = 1, .settings = {{EntryHost, ShortExitSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.withholdResponses(TargetHost);
+    const std::string key = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.runsOf(key) == 1; });
+    fleet.signalNode(EntryHost, SIGTERM);
+    fleet.awaitState([&] { return fleet.countLogged(EntryHost, "NodeDraining") == 1; });
+    fleet.signalNode(EntryHost, SIGSTOP);
+    fleet.runFor(Pause);
+    fleet.signalNode(EntryHost, SIGCONT);
+    EXPECT_EQ(fleet.waitForNode(EntryHost), 0);
+    fleet.awaitState([&] { return fleet.findRecord(key) != nullptr; });
+
+    EXPECT_EQ(fleet.findRecord(key)->status, StatusGatewayTimeout);
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -47,6 +47,7 @@
 {
     NodeDrain drain(WithExitTime, Start);
     const DrainWork work = runningAttempt();
+    drain.tick(work, Start + 5s);
     EXPECT_THAT(drain.tick(work, Start + 5'100ms), Contains(DrainStep::StopAcceptingLinks));
     EXPECT_THAT(drain.tick(work, Start + 5'199ms), Not(Contains(DrainStep::FinishLinks)));
     const DrainSteps atEnd = drain.tick(work, Start + 5'200ms);
@@ -56,6 +57,19 @@
     EXPECT_THAT(drain.tick(work, Start + 5'300ms), ElementsAre(DrainStep::Exit));
 }
 
+// Calls that were open before the pause would get no answer.
+TEST(NodeDrainTest, PausedNodeHasTimeForItsLastResponsesAfterThePause)
+{
+    NodeDrain drain(WithExitTime, Start);
+    DrainWork work = runningAttempt();
+    work.calls = 1;
+    drain.tick(work, Start + 4s);
+    EXPECT_THAT(drain.tick(work, Start + 8s), Not(Contains(DrainStep::Exit)));
+    EXPECT_THAT(drain.tick(work, Start + 8'199ms), Not(Contains(DrainStep::FinishLinks)));
+    EXPECT_THAT(drain.tick(work, Start + 8'200ms), Contains(DrainStep::FinishLinks));
+    EXPECT_THAT(drain.tick(work, Start + 8'300ms), ElementsAre(DrainStep::Exit));
+}
+
 TEST(NodeDrainTest, ExitsOncePeersHaveClosedTheirLinks)
 {
     NodeDrain drain(WithExitTime, Start);
