[node] Refuse the attempts that wait for a draining target when its grace time ends

What callers saw in the test: 502 with an unknown outcome for a call that never ran, so that it can't be repeated safely. It waited for a slot of a target whose node got SIGTERM, and no slot came free before the node's exit.

Cause: the exit of the target's node bounds no attempt. It cut queued attempts with its links; the entry node can't ask a process that has ended whether they ran.

Fix: at the end of the grace time the node refuses what is still queued, so that the calls go to other targets or get a 503.

Attempts that run until the exit are still cut with the links; their outcome is unknown either way.

--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -110,6 +110,8 @@
     /// The health page of an endpoint's target was read.
     TargetActions onHealth(const EndpointId &endpoint, bool draining, TimePoint now);
 
+    /// Refuses the attempts that wait for a slot, since this node exits before they could end.
+    TargetActions refuseQueued(TimePoint now);
     /// Ends attempts that are past their deadline and repeats announcements. Must be called every few milliseconds
     /// while there are attempts that have not ended.
     TargetActions tick(TimePoint now);
--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -30,6 +30,7 @@
     DrainEntry, ///< ask callers to close their connections after the next response
     StopAccepting, ///< accept no further connections of callers, and close each after its response
     CloseIdleConnections, ///< close the connections of callers without an open request
+    RefuseQueued, ///< refuse the attempts that still wait for the target beside the node
     StopAcceptingLinks, ///< accept no further links; requests on open ones are still refused
     FinishLinks, ///< send nothing new on the links, and close each once its peer has read everything
     Exit, ///< end the process
--- a/include/jasminemast/node/targetproxy.h
+++ b/include/jasminemast/node/targetproxy.h
@@ -46,6 +46,8 @@
 
     /// Accepts no new attempts from now on.
     void beginDrain();
+    /// See TargetCore::refuseQueued().
+    void refuseQueued();
 
     [[nodiscard]] const TargetCore &core() const
     {
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -149,6 +149,23 @@
     return true;
 }
 
+TargetActions TargetCore::refuseQueued(TimePoint now)
+{
+    std::vector<AttemptId> queued;
+    for (const auto &[attempt, accepted] : m_accepted) {
+        if (!accepted.startedAt) {
+            queued.push_back(attempt);
+        }
+    }
+    TargetActions actions;
+    for (const AttemptId &attempt : queued) {
+        if (withdraw(attempt, ResultCode::TargetLeaving, now)) {
+            actions.emplace_back(targetaction::Refuse {attempt, ResultCode::TargetLeaving});
+        }
+    }
+    return actions;
+}
+
 TargetActions TargetCore::onFence(const FenceRequest &request, TimePoint now)
 {
     withdraw(request.attempt, ResultCode::AttemptFenced, now);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -265,6 +265,9 @@
     case DrainStep::CloseIdleConnections:
         m_callerServer.closeIdleConnections();
         break;
+    case DrainStep::RefuseQueued:
+        m_targetProxy.refuseQueued();
+        break;
     case DrainStep::StopAcceptingLinks:
         m_targetProxy.beginDrain();
         m_links.stopAccepting();
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -23,13 +23,14 @@
 
 DrainSteps NodeDrain::tick(const DrainWork &work, TimePoint now)
 {
-    if (!m_graceEndedAt && hasExitTime() && now >= latestDeadline()) {
-        m_graceEndedAt = now;
-    }
     if (isExitDue(work, now)) {
         return {DrainStep::Exit};
     }
     DrainSteps steps;
+    if (!m_graceEndedAt && hasExitTime() && now >= latestDeadline()) {
+        m_graceEndedAt = now;
+        steps.push_back(DrainStep::RefuseQueued);
+    }
     if (hasExitTime() && !m_isExitAnnounced && now >= latestDeadline() - ExpediteTime) {
         m_isExitAnnounced = true;
         steps.push_back(DrainStep::AnnounceExit);
--- a/lib/node/targetproxy.cpp
+++ b/lib/node/targetproxy.cpp
@@ -263,6 +263,11 @@
     perform(m_core.setLeaving(DrainReason::Signal, true, m_clock.now()));
 }
 
+void TargetProxy::refuseQueued()
+{
+    perform(m_core.refuseQueued(m_clock.now()));
+}
+
 void TargetProxy::scheduleTick()
 {
     m_tickTimer.start(m_attempts.empty() ? IdleTickInterval : TickInterval);
--- a/unittests/node/drainfaulttest.cpp
+++ b/unittests/node/drainfaulttest.cpp
@@ -178,3 +178,27 @@
     EXPECT_EQ(fleet.findRecord(key)->status, StatusGatewayTimeout);
     EXPECT_EQ(fleet.violations(), NoViolation);
 }
+
+// A caller that isn't told that its call never ran can't safely repeat it.
+TEST(DrainFaultTest, CallsThatAreQueuedAtADrainingTargetAreReportedAsNotRun)
+{
+    Fleet fleet(2,
+                FleetOptions {.targetSlots = 1,
+                              .settings = {{EntryHost, LateDeadlineSettings}, {TargetHost, ShortExitSettings}}});
+    ASSERT_TRUE(fleet.start());
+    fleet.withholdResponses(TargetHost);
+    const std::string occupant = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.runsOf(occupant) == 1; });
+    const std::string key = fleet.startCall(callTo(EntryHost, 0));
+    fleet.awaitState([&] { return fleet.acceptedAt(TargetHost) == 2; });
+
+    fleet.signalNode(TargetHost, SIGTERM);
+    EXPECT_EQ(fleet.waitForNode(TargetHost), 0);
+    fleet.awaitState([&] { return fleet.findRecord(key) != nullptr && fleet.findRecord(occupant) != nullptr; });
+
+    EXPECT_EQ(fleet.findRecord(key)->status, StatusUnavailable);
+    EXPECT_EQ(fleet.findRecord(key)->outcome, "not-run");
+    EXPECT_EQ(fleet.findRecord(occupant)->outcome, "unknown");
+    EXPECT_EQ(fleet.runsOf(key), 0U);
+    EXPECT_EQ(fleet.violations(), NoViolation);
+}
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -47,7 +47,7 @@
 {
     NodeDrain drain(WithExitTime, Start);
     const DrainWork work = runningAttempt();
-    drain.tick(work, Start + 5s);
+    EXPECT_THAT(drain.tick(work, Start + 5s), Contains(DrainStep::RefuseQueued));
     EXPECT_THAT(drain.tick(work, Start + 5'100ms), Contains(DrainStep::StopAcceptingLinks));
     EXPECT_THAT(drain.tick(work, Start + 5'199ms), Not(Contains(DrainStep::FinishLinks)));
     const DrainSteps atEnd = drain.tick(work, Start + 5'200ms);
