[node] Hold the head of a response back on a draining node until its body begins

What callers can see: a response that breaks off after its head, at the end of the grace time of their entry node (LOST, "closed in the middle of the response"). A call that got nothing but a head could be answered.

Cause: a head overtakes the bodies that are queued at the node of the target, and the entry node passes it on at once. When the call ends with nothing of its body received, the response has begun, so that closing the connection is all that is left.

Fix: from SIGTERM on, a node with an exit time passes the head on with the first byte of the body, or its end.

--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -92,18 +92,34 @@
     void cancelAttempt();
     void withdrawAttempt();
 
+    /// Holds the head back until the body begins, so that a call that gets nothing of it can still be answered.
+    void holdHead()
+    {
+        m_isHeadHeld = true;
+    }
     void forwardHead(const HeadMessage &head, bool closeConnection);
     void forwardData(std::string_view bytes);
     /// Ends the response; without a response, sends outcome and code to the caller.
     void finish(Outcome outcome, ResultCode code, const FailureHeaders &failure);
 
 private:
+    struct HeldHead
+    {
+        unsigned status = 0;
+        HttpHeaders headers;
+        std::optional<std::uint64_t> length;
+    };
+
+    void releaseHead();
+
     std::shared_ptr<HttpExchange> m_exchange;
     StatePtr m_state; ///< the configuration that was in force when the call began
     const Route *m_route; ///< in m_state
     const CallHeaders &m_headers;
     EntryTimes m_times;
     std::shared_ptr<AttemptHandle> m_handle; ///< attempt in progress
+    bool m_isHeadHeld = false;
+    std::optional<HeldHead> m_heldHead; ///< of the response that has not begun for the caller
     ResponseProgress m_progress; ///< without the unsent bytes, which the exchange knows
 };
 
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -5,6 +5,7 @@
 #include <charconv>
 #include <iomanip>
 #include <sstream>
+#include <utility>
 
 namespace jasminemast
 {
@@ -216,18 +217,29 @@
     if (closeConnection) {
         headers.push_back({"Connection", "close"});
     }
-    m_progress.isStarted = true;
     m_progress.length = head.length;
     m_exchange->setBytesSentHandler([handle = std::weak_ptr(m_handle)](std::size_t bytes) {
         if (const auto attempt = handle.lock()) {
             attempt->credit(bytes);
         }
     });
-    m_exchange->beginBody(head.status, headers, head.length);
+    m_heldHead = HeldHead {head.status, std::move(headers), head.length};
+    if (!m_isHeadHeld) {
+        releaseHead();
+    }
+}
+
+void EntryCall::releaseHead()
+{
+    if (const auto head = std::exchange(m_heldHead, std::nullopt)) {
+        m_progress.isStarted = true;
+        m_exchange->beginBody(head->status, head->headers, head->length);
+    }
 }
 
 void EntryCall::forwardData(std::string_view bytes)
 {
+    releaseHead();
     m_progress.received += bytes.size();
     m_exchange->write(bytes);
 }
@@ -236,6 +248,7 @@
 {
     m_exchange->setCancelHandler(nullptr);
     if (outcome == Outcome::Answered) {
+        releaseHead();
         m_exchange->finish();
         return;
     }
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -87,7 +87,12 @@
         if (!m_proxy.m_core.awaits(m_attempt)) {
             return;
         }
-        m_proxy.findCall(m_attempt.call)->forwardHead(head, m_proxy.m_draining);
+        EntryCall &call = *m_proxy.findCall(m_attempt.call);
+        // Heads overtake bodies; a response of which the caller has only the head could just break off at the exit.
+        if (m_proxy.m_latestDeadline != TimePoint::max()) {
+            call.holdHead();
+        }
+        call.forwardHead(head, m_proxy.m_draining);
     }
 
     void data(std::string_view bytes) override
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -28,6 +28,7 @@
         Link::Handlers handlers;
         handlers.onFrame = [this](const std::shared_ptr<Link> &link, FrameType type, std::string_view payload) {
             m_remote.onFrame(link, static_cast<CallFrame>(type), payload);
+            m_headFrames += type == static_cast<FrameType>(CallFrame::Head) ? 1 : 0;
         };
         handlers.onUp = [this](const std::shared_ptr<Link> &link) {
             m_entryProxy.onLinkUp(link);
@@ -63,12 +64,34 @@
         request.method = "POST";
         request.url = "http://" + m_callerAddress.toString() + "/";
         request.timeout = 30'000ms;
-        m_http.fetch(std::move(request),
-                     [this](const HttpClientResult &, unsigned status, const HttpHeaders &, const std::string &) {
-                         m_statuses.push_back(status);
-                     });
+        m_http.fetch(
+            std::move(request),
+            [this](const HttpClientResult &result, unsigned status, const HttpHeaders &, const std::string &body) {
+                m_statuses.push_back(result.code == ResultCode::Ok ? status : 0);
+                m_body = body;
+            });
     }
 
+    /// Sends the head of a response to the first call, whose body is still queued.
+    void sendHead()
+    {
+        HeadMessage head;
+        head.stream = 1;
+        head.status = 200;
+        head.length = BodyBytes;
+        m_targetHostLink->send(static_cast<FrameType>(CallFrame::Head), encodeMessage(head));
+    }
+
+    void sendBody()
+    {
+        m_targetHostLink->sendBulk(StreamId(1), static_cast<FrameType>(CallFrame::Data),
+                                   encodeDataFrame(1, std::string(BodyBytes, 'x')));
+        m_targetHostLink->sendBulk(StreamId(1), static_cast<FrameType>(CallFrame::End),
+                                   encodeMessage(EndMessage {1, 0, ""}));
+    }
+
+    static constexpr std::size_t BodyBytes = 1'000;
+
     Loop m_loop;
     SystemClock m_clock;
     Metrics m_metrics {m_clock};
@@ -78,6 +101,7 @@
     OneTargetFleet m_fleet {SocketAddress {m_targetHostAddress.ip, 80}};
     NodeSettings m_settings = settingsOf(m_callerAddress, m_targetHostAddress.port);
     std::size_t m_openFrames = 0;
+    std::size_t m_headFrames = 0;
     std::shared_ptr<Link> m_targetHostLink;
     std::function<void(std::uint64_t stream)> m_onOpen = [](std::uint64_t /*stream*/) {
     };
@@ -109,7 +133,8 @@
                          [](ResultCode) {
                          }};
     HttpClient m_http {m_loop};
-    std::vector<unsigned> m_statuses;
+    std::vector<unsigned> m_statuses; ///< 0: the connection broke
+    std::string m_body;
 };
 
 } // namespace
@@ -155,3 +180,28 @@
     EXPECT_EQ(m_statuses, std::vector<unsigned> {503});
     EXPECT_EQ(m_entryProxy.openCalls(), 0U);
 }
+
+// Heads overtake bodies, and once the caller has one, its response can only break off.
+TEST_F(EntryProxyTest, AnswersCallWhoseBodyHasNotBegunWhenTheNodeExits)
+{
+    call();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 1; }));
+    m_entryProxy.limitDeadlines(m_clock.now() + 60s, 0ms);
+    sendHead();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_headFrames == 1; }));
+    m_entryProxy.limitDeadlines(m_clock.now(), 0ms);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {504});
+}
+
+TEST_F(EntryProxyTest, DrainingNodeForwardsResponseCompletely)
+{
+    call();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 1; }));
+    m_entryProxy.limitDeadlines(m_clock.now() + 60s, 0ms);
+    sendHead();
+    sendBody();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {200});
+    EXPECT_EQ(m_body.size(), BodyBytes);
+}
