[node] Tests print the log of a node that failed, and keep it

A node of a test that ends by a signal or with a status other than 0 now has the end of its log printed, and the folder stays; each fleet has a folder of its own, so that the next fleet doesn't remove it. waitForNode() returns the signal's number in place of -1. What makes a test fail is unchanged.

--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -12,7 +12,11 @@
 
 #include <algorithm>
 #include <csignal>
+#include <cstdlib>
+#include <deque>
 #include <fstream>
+#include <iostream>
+#include <stdexcept>
 
 namespace jasminemast::fleet
 {
@@ -34,22 +38,38 @@
 constexpr std::uint64_t MaxTimeoutMs = 600'000; ///< the longest that a route may have
 constexpr unsigned StatusOk = 200;
 constexpr unsigned StatusNotFound = 404;
+constexpr std::size_t PrintedLogLines = 60;
 
 std::string hostName(std::size_t host)
 {
     return "h" + std::to_string(host);
 }
 
+/// A new directory, whose name no earlier fleet has used.
+std::filesystem::path makeDirectory()
+{
+    std::string name = (std::filesystem::temp_directory_path() / "jasminemast-fleet-XXXXXX").string();
+    if (::mkdtemp(name.data()) == nullptr) {
+        throw std::runtime_error("cannot create " + name);
+    }
+    return name;
+}
+
+/// The exit status, or the negative number of the signal that ended the process.
+int exitStatus(int waitStatus)
+{
+    return WIFEXITED(waitStatus) ? WEXITSTATUS(waitStatus) : -WTERMSIG(waitStatus);
+}
+
 } // namespace
 
 Fleet::Fleet(std::size_t hosts, FleetOptions options)
     : m_addressPrefix("127." + std::to_string(64 + ::getpid() % 128) + "." + std::to_string(::getpid() / 128 % 256)
                       + ".")
-    , m_directory(std::filesystem::temp_directory_path() / ("jasminemast-fleet-" + std::to_string(::getpid())))
+    , m_directory(makeDirectory())
     , m_options(std::move(options))
     , m_nodes(hosts, 0)
 {
-    std::filesystem::create_directories(m_directory);
     for (std::size_t host = 0; host < hosts; ++host) {
         auto target = std::make_unique<Target>();
         target->server = std::make_unique<HttpServer>(
@@ -68,11 +88,12 @@
 {
     for (std::size_t host = 0; host < m_nodes.size(); ++host) {
         if (m_nodes[host] != 0) {
-            signalNode(host, SIGKILL);
-            ::waitpid(m_nodes[host], nullptr, 0);
+            killNode(host);
         }
     }
-    std::filesystem::remove_all(m_directory);
+    if (!m_keepsDirectory) {
+        std::filesystem::remove_all(m_directory);
+    }
 }
 
 std::string Fleet::address(std::size_t host) const
@@ -241,10 +262,42 @@
     }
 }
 
-void Fleet::killAndRestartNode(std::size_t host)
+void Fleet::killNode(std::size_t host)
 {
     signalNode(host, SIGKILL);
-    ::waitpid(m_nodes[host], nullptr, 0);
+    int status = 0;
+    ::waitpid(m_nodes[host], &status, 0);
+    // Otherwise the node has ended before the signal.
+    if (exitStatus(status) != -SIGKILL) {
+        reportExit(host, exitStatus(status));
+    }
+}
+
+void Fleet::reportExit(std::size_t host, int status)
+{
+    if (status == 0) {
+        return;
+    }
+    m_keepsDirectory = true;
+    const std::filesystem::path path = m_directory / (hostName(host) + ".log");
+    std::cerr << "node " << host << " (process " << m_nodes[host] << ") ended with status " << status
+              << "; end of its log, kept as " << path << ":\n";
+    std::ifstream log(path);
+    std::deque<std::string> lines;
+    for (std::string line; std::getline(log, line);) {
+        lines.push_back(line);
+        if (lines.size() > PrintedLogLines) {
+            lines.pop_front();
+        }
+    }
+    for (const std::string &line : lines) {
+        std::cerr << "  " << line << '\n';
+    }
+}
+
+void Fleet::killAndRestartNode(std::size_t host)
+{
+    killNode(host);
     startNode(host);
 }
 
@@ -271,7 +324,8 @@
         runLater(ReadyPollInterval, [this, host] { awaitExit(host); });
         return;
     }
-    m_exitStatuses.push_back(WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status));
+    m_exitStatuses.push_back(exitStatus(status));
+    reportExit(host, m_exitStatuses.back());
     startNode(host);
     awaitRestarted(host, MaxReadyPolls);
 }
@@ -301,8 +355,9 @@
     while (::waitpid(m_nodes[host], &status, WNOHANG) == 0) {
         runFor(ReadyPollInterval);
     }
+    reportExit(host, exitStatus(status));
     m_nodes[host] = 0;
-    return WIFEXITED(status) ? WEXITSTATUS(status) : -1;
+    return exitStatus(status);
 }
 
 void Fleet::setHealth(std::size_t host, const std::string &state)
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -61,8 +61,8 @@
     bool awaitReady();
     void startNode(std::size_t host);
     void signalNode(std::size_t host, int signal);
-    /// Waits for the node to exit while the stand-ins go on serving. Returns its exit status, or -1 if a signal killed
-    /// it. Must not be called from within a handler.
+    /// Waits for the node to exit while the stand-ins go on serving. Returns its exit status, or the negative number of
+    /// the signal that ended it. Must not be called from within a handler.
     int waitForNode(std::size_t host);
     /// Kills the node and starts it again.
     void killAndRestartNode(std::size_t host);
@@ -131,6 +131,9 @@
     std::string nextKey(const CallPlan &plan);
     void startNextCall();
     void callRepeatedly(const CallPlan &plan);
+    void killNode(std::size_t host);
+    /// Prints the end of the node's log and keeps the logs if \p status is not 0.
+    void reportExit(std::size_t host, int status);
     void awaitExit(std::size_t host);
     void runLater(Milliseconds delay, std::function<void()> work);
     /// Ends the restart of \p host once its new process is ready; before that, the process may not have installed its
@@ -141,6 +144,7 @@
 
     std::string m_addressPrefix; ///< first three numbers of all addresses, different from those of other test processes
     std::filesystem::path m_directory;
+    bool m_keepsDirectory = false;
     FleetOptions m_options;
     Loop m_loop;
     HttpClient m_client {m_loop};
