[node] Tests of signals, reloads, tickets and overlapping drains, on connections that callers keep

Callers of the tests keep connections open now, and go on using them until the node is gone (KeptConnection). A call that ends without a response is a violation, unless the node's kernel has reset the connection and the call has not run: then the node had not read all of it.

- ChangesAndSignalsDuringADrainCutNoCall: a settings file that changes with and without SIGHUP, an invalid one, a second SIGTERM, SIGINT, and a ticket that takes the route and slots of the open calls away, while the entry node or the target's node drains.
- OverlappingDrainsOfEntryAndTargetCutNoCall: SIGTERM of both in either order, the second one while the first drains or exits.
- RequestsOnKeptConnectionsAreAnsweredOrNotReadDuringTheExit: requests sent while a node closes its links.

Each with and without drain.graceMs.

--- a/unittests/node/drainfaulttest.cpp
+++ b/unittests/node/drainfaulttest.cpp
@@ -34,6 +34,18 @@
     "calls": {"defaultDeadlineMs": 60000}
 })";
 constexpr const char *LateDeadlineSettings = R"({"calls": {"defaultDeadlineMs": 60000}})";
+constexpr const char *NoGraceSettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 100},
+    "calls": {"defaultDeadlineMs": 60000}
+})";
+constexpr const char *AmpleGraceSettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 100, "graceMs": 30000, "killMarginMs": 40000},
+    "calls": {"defaultDeadlineMs": 60000}
+})";
+constexpr const char *HastySettings = R"({
+    "drain": {"serveMs": 0, "lingerMs": 0, "graceMs": 1, "killMarginMs": 0},
+    "calls": {"defaultDeadlineMs": 1000}
+})";
 constexpr const char *SlowUplinkSettings = R"({"links": {"megabitsPerSecond": 8}})";
 const std::vector<std::string> NoViolation;
 
@@ -64,6 +76,53 @@
     }
 }
 
+/// Runs the loop until \p text is in the log of the node, or the node has stopped; true if the text is there.
+bool awaitLogged(Fleet &fleet, std::size_t host, const std::string &text, std::size_t times = 1)
+{
+    fleet.awaitState(
+        [&] { return fleet.countLogged(host, text) >= times || fleet.countLogged(host, "NodeStopped") > 0; });
+    return fleet.countLogged(host, text) >= times;
+}
+
+/// Starts calls on kept connections that the target runs, or that wait for it, and returns their keys.
+std::vector<std::string> startWithheldCalls(Fleet &fleet, std::size_t count)
+{
+    fleet.withholdResponses(TargetHost);
+    std::vector<std::string> keys;
+    while (keys.size() < count) {
+        keys.push_back(fleet.callOnKeptConnection(callTo(EntryHost, 20'000)).value());
+        fleet.awaitState([&] { return fleet.acceptedAt(TargetHost) == keys.size(); });
+    }
+    return keys;
+}
+
+/// Has the draining node of \p host read changed settings, and sends it further signals.
+void disturbDrain(Fleet &fleet, std::size_t host)
+{
+    fleet.changeSettings(host, HastySettings);
+    EXPECT_TRUE(awaitLogged(fleet, host, "SettingsReloaded"));
+    fleet.changeSettings(host, ShortGraceSettings);
+    fleet.signalNode(host, SIGHUP);
+    EXPECT_TRUE(awaitLogged(fleet, host, "SettingsReloaded", 2));
+    fleet.replaceSettingsFile(host, "{");
+    fleet.signalNode(host, SIGHUP);
+    EXPECT_TRUE(awaitLogged(fleet, host, "SettingsRefused"));
+    fleet.signalNode(host, SIGTERM);
+    fleet.signalNode(host, SIGINT);
+}
+
+/// Runs the loop until \p isReached returns true, and meanwhile uses the connections that the entry node keeps open.
+void useConnectionsUntil(Fleet &fleet, const std::function<bool()> &isReached)
+{
+    CallPlan anywhere = callTo(EntryHost, 20'000);
+    anywhere.targetHost.reset();
+    fleet.awaitState([&] {
+        fleet.callOnKeptConnection(callTo(EntryHost, 20'000));
+        fleet.callOnKeptConnection(anywhere);
+        return isReached();
+    });
+}
+
 /// Sends SIGTERM to the entry node and waits for its exit and for the end of the call \p key.
 void drainEntryNode(Fleet &fleet, const std::string &key)
 {
@@ -202,3 +261,99 @@
     EXPECT_EQ(fleet.runsOf(key), 0U);
     EXPECT_EQ(fleet.violations(), NoViolation);
 }
+
+// A caller whose request is read has its call run elsewhere, or lost, if the connection closes without a response.
+TEST(DrainFaultTest, RequestsOnKeptConnectionsAreAnsweredOrNotReadDuringTheExit)
+{
+    constexpr std::size_t Connections = 8;
+    for (const char *settings : {NoGraceSettings, AmpleGraceSettings}) {
+        SCOPED_TRACE(settings);
+        Fleet fleet(2, FleetOptions {.settings = {{EntryHost, settings}}});
+        ASSERT_TRUE(fleet.start());
+        fleet.keepConnections(callTo(EntryHost, 0), Connections);
+        fleet.watchExit(EntryHost);
+        // The exit takes as long as the other node keeps its link open.
+        fleet.signalNode(TargetHost, SIGSTOP);
+        fleet.signalNode(EntryHost, SIGTERM);
+        fleet.awaitState([&] { return fleet.isExiting(EntryHost); });
+
+        for (std::size_t i = 0; i < Connections; ++i) {
+            fleet.callOnKeptConnection(callTo(EntryHost, 0));
+        }
+
+        EXPECT_EQ(fleet.waitForNode(EntryHost), 0);
+        fleet.signalNode(TargetHost, SIGCONT);
+        fleet.recordCutCalls(EntryHost);
+        EXPECT_EQ(fleet.violations(), NoViolation);
+    }
+}
+
+// Neither what operators change nor a repeated signal may shorten the time that the calls of a draining node have.
+TEST(DrainFaultTest, ChangesAndSignalsDuringADrainCutNoCall)
+{
+    constexpr std::size_t Connections = 8;
+    constexpr std::size_t Slots = 2; // as many calls wait for one
+    const std::string changes = R"({
+        "routes": {"h1": null},
+        "endpoints": {"h1": {"host": "h1", "port": 7003, "slots": 1, "draining": true}}
+    })";
+    for (const std::size_t drainingHost : {EntryHost, TargetHost}) {
+        for (const char *settings : {NoGraceSettings, AmpleGraceSettings}) {
+            SCOPED_TRACE(std::to_string(drainingHost) + settings);
+            Fleet fleet(
+                2, FleetOptions {.targetSlots = Slots, .settings = {{EntryHost, settings}, {TargetHost, settings}}});
+            ASSERT_TRUE(fleet.start());
+            fleet.keepConnections(callTo(EntryHost, 0), Connections);
+            const std::vector<std::string> keys = startWithheldCalls(fleet, 2 * Slots);
+            fleet.signalNode(drainingHost, SIGTERM);
+            EXPECT_TRUE(awaitLogged(fleet, drainingHost, "NodeDraining"));
+
+            disturbDrain(fleet, drainingHost);
+            const std::string applied = "number=" + std::to_string(fleet.publishTicket(changes)) + " ";
+            EXPECT_TRUE(awaitLogged(fleet, EntryHost, applied));
+            EXPECT_TRUE(awaitLogged(fleet, TargetHost, applied));
+            fleet.releaseResponses(TargetHost);
+
+            EXPECT_EQ(fleet.waitForNode(drainingHost), 0);
+            fleet.recordCutCalls(EntryHost);
+            for (const std::string &key : keys) {
+                EXPECT_EQ(fleet.findRecord(key)->status, StatusOk) << key;
+            }
+            EXPECT_EQ(fleet.countLogged(drainingHost, "NodeDraining"), 1U);
+            EXPECT_EQ(fleet.violations(), NoViolation);
+        }
+    }
+}
+
+// Calls of a node that drains must end well even while the node of their target drains and exits.
+TEST(DrainFaultTest, OverlappingDrainsOfEntryAndTargetCutNoCall)
+{
+    constexpr std::size_t Connections = 30;
+    for (const bool isTargetFirst : {false, true}) {
+        for (const char *settings : {NoGraceSettings, AmpleGraceSettings}) {
+            for (const bool isFirstExiting : {false, true}) {
+                SCOPED_TRACE(std::to_string(isTargetFirst) + std::to_string(isFirstExiting) + settings);
+                const std::size_t first = isTargetFirst ? TargetHost : EntryHost;
+                Fleet fleet(3, FleetOptions {.settings = {{EntryHost, settings}, {TargetHost, settings}}});
+                ASSERT_TRUE(fleet.start());
+                fleet.keepConnections(callTo(EntryHost, 0), Connections);
+                fleet.watchExit(first);
+                fleet.signalNode(first, SIGTERM);
+                useConnectionsUntil(fleet, [&] {
+                    return isFirstExiting ? fleet.isExiting(first) : fleet.countLogged(first, "NodeDraining") == 1;
+                });
+                fleet.signalNode(isTargetFirst ? EntryHost : TargetHost, SIGTERM);
+                useConnectionsUntil(fleet, [&] {
+                    return fleet.countLogged(EntryHost, "NodeStopped") == 1
+                        && fleet.countLogged(TargetHost, "NodeStopped") == 1;
+                });
+
+                EXPECT_EQ(fleet.waitForNode(EntryHost), 0);
+                EXPECT_EQ(fleet.waitForNode(TargetHost), 0);
+                fleet.recordCutCalls(EntryHost);
+                EXPECT_GT(fleet.okResponses(), Connections);
+                EXPECT_EQ(fleet.violations(), NoViolation);
+            }
+        }
+    }
+}
--- a/unittests/node/fleet.cpp
+++ b/unittests/node/fleet.cpp
@@ -7,16 +7,20 @@
 
 #include <fcntl.h>
 #include <sys/prctl.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
 #include <algorithm>
+#include <array>
+#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <deque>
 #include <fstream>
 #include <iostream>
 #include <stdexcept>
+#include <utility>
 
 namespace jasminemast::fleet
 {
@@ -101,17 +105,16 @@
     return m_addressPrefix + std::to_string(host + 1);
 }
 
-std::string Fleet::callerUrl(std::size_t host) const
+SocketAddress Fleet::callerAddress(std::size_t host) const
 {
-    return "http://" + address(host) + ":" + std::to_string(CallerPort);
+    return {address(host), CallerPort};
 }
 
 void Fleet::publishConfiguration()
 {
     nlohmann::json ticket;
     nlohmann::json hosts = nlohmann::json::array();
-    ticket["number"] = 1;
-    ticket["previous"] = Digest {}.hex();
+    m_ticketDigest = Digest {}.hex();
     ticket["routes"]["all"] = {{"pathPrefix", "/"}, {"service", "all"}};
     for (std::size_t host = 0; host < m_nodes.size(); ++host) {
         const std::string name = hostName(host);
@@ -122,24 +125,52 @@
         hosts.push_back(
             {{"host", name}, {"region", "r"}, {"zone", "z"}, {"address", address(host)}, {"state", "live"}});
     }
-    const std::string bytes = ticket.dump();
-    m_platformValues["/v1/kv/tickets/1"] = bytes;
-    m_platformValues["/v1/kv/accepted"] = nlohmann::json {{"number", 1}, {"digest", sha256(bytes).hex()}}.dump();
     m_platformValues["/v1/hosts"] = hosts.dump();
+    acceptTicket(ticket);
 }
 
-void Fleet::handlePlatformRequest(const std::shared_ptr<HttpExchange> &exchange)
+void Fleet::acceptTicket(const nlohmann::json &ticket)
+{
+    nlohmann::json numbered = ticket;
+    numbered["number"] = ++m_ticketNumber;
+    numbered["previous"] = m_ticketDigest;
+    const std::string bytes = numbered.dump();
+    m_ticketDigest = sha256(bytes).hex();
+    m_platformValues["/v1/kv/tickets/" + std::to_string(m_ticketNumber)] = bytes;
+    m_platformValues["/v1/kv/accepted"]
+        = nlohmann::json {{"number", m_ticketNumber}, {"digest", m_ticketDigest}}.dump();
+    ++m_platformIndex;
+    for (const auto &poll : std::exchange(m_polls, {})) {
+        respondToPoll(poll);
+    }
+}
+
+unsigned Fleet::publishTicket(const std::string &changes)
+{
+    acceptTicket(nlohmann::json::parse(changes));
+    return m_ticketNumber;
+}
+
+void Fleet::respondToPoll(const std::shared_ptr<HttpExchange> &exchange)
 {
     const auto found = m_platformValues.find(std::string(exchange->request().path()));
     const bool known = found != m_platformValues.end();
-    const auto respond = [exchange, known, value = known ? found->second : std::string()] {
-        exchange->respond(known ? StatusOk : StatusNotFound, {{"X-Index", "1"}}, value);
-    };
-    if (exchange->request().query("index") == "1") {
-        runLater(LongPollTime, respond);
+    exchange->respond(known ? StatusOk : StatusNotFound, {{"X-Index", std::to_string(m_platformIndex)}},
+                      known ? found->second : std::string());
+}
+
+void Fleet::handlePlatformRequest(const std::shared_ptr<HttpExchange> &exchange)
+{
+    if (exchange->request().query("index") != std::to_string(m_platformIndex)) {
+        respondToPoll(exchange);
         return;
     }
-    respond();
+    m_polls.push_back(exchange);
+    runLater(LongPollTime, [this, exchange] {
+        if (std::erase(m_polls, exchange) > 0) {
+            respondToPoll(exchange);
+        }
+    });
 }
 
 void Fleet::handleTargetRequest(std::size_t host, const std::shared_ptr<HttpExchange> &exchange)
@@ -156,9 +187,14 @@
         target.withheld.push_back(exchange);
         return;
     }
+    runLater(Milliseconds(m_random.nextBelow(MaxServiceMs)), [this, exchange] { respond(exchange); });
+}
+
+void Fleet::respond(const std::shared_ptr<HttpExchange> &exchange)
+{
+    const std::string key(exchange->request().path().substr(1));
     const std::size_t paddingBytes = std::stoul(exchange->request().query("padding"));
-    runLater(Milliseconds(m_random.nextBelow(MaxServiceMs)),
-             [exchange, key, paddingBytes] { exchange->respond(StatusOk, {}, responseFor(key, paddingBytes)); });
+    exchange->respond(StatusOk, {}, responseFor(key, paddingBytes));
 }
 
 void Fleet::runLater(Milliseconds delay, std::function<void()> work)
@@ -229,7 +265,7 @@
         settings.merge_patch(nlohmann::json::parse(own->second));
     }
     const std::string file = (m_directory / (hostName(host) + ".json")).string();
-    std::ofstream(file) << settings.dump();
+    replaceSettingsFile(host, settings.dump());
     const std::string flag = "--settings=" + file;
     const std::string log = (m_directory / (hostName(host) + ".log")).string();
     const pid_t child = ::fork();
@@ -244,6 +280,41 @@
     m_nodes[host] = child;
 }
 
+void Fleet::changeSettings(std::size_t host, const std::string &settings)
+{
+    std::ifstream file(m_directory / (hostName(host) + ".json"));
+    nlohmann::json changed = nlohmann::json::parse(file);
+    changed.merge_patch(nlohmann::json::parse(settings));
+    replaceSettingsFile(host, changed.dump());
+}
+
+void Fleet::replaceSettingsFile(std::size_t host, const std::string &text)
+{
+    const std::filesystem::path written = m_directory / (hostName(host) + ".new");
+    std::ofstream(written) << text;
+    std::filesystem::rename(written, m_directory / (hostName(host) + ".json"));
+}
+
+void Fleet::watchExit(std::size_t host)
+{
+    const sockaddr_in system = toSystemAddress({address(host), LinkPort});
+    Descriptor probe(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+    if (::connect(probe.get(), reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0) {
+        throw std::runtime_error("the node accepts no links");
+    }
+    m_exitProbes[host] = std::move(probe);
+}
+
+bool Fleet::isExiting(std::size_t host) const
+{
+    std::array<char, 1024> sent; // the node's greeting
+    ssize_t size = 0;
+    do {
+        size = ::recv(m_exitProbes.at(host).get(), sent.data(), sent.size(), MSG_DONTWAIT);
+    } while (size > 0);
+    return size == 0 || errno == ECONNRESET;
+}
+
 std::size_t Fleet::countLogged(std::size_t host, std::string_view text) const
 {
     std::ifstream log(m_directory / (hostName(host) + ".log"));
@@ -370,6 +441,14 @@
     m_targets[host]->isWithholding = true;
 }
 
+void Fleet::releaseResponses(std::size_t host)
+{
+    m_targets[host]->isWithholding = false;
+    for (const auto &exchange : std::exchange(m_targets[host]->withheld, {})) {
+        respond(exchange);
+    }
+}
+
 std::size_t Fleet::acceptedAt(std::size_t host)
 {
     std::size_t accepted = 0;
--- a/unittests/node/fleet.h
+++ b/unittests/node/fleet.h
@@ -1,10 +1,14 @@
 // Runs a few real nodes on loopback addresses, with stand-ins for platform, targets and callers on the test's loop.
 #pragma once
 
+#include "keptconnection.h"
+
 #include "jasminemast/net/httpclient.h"
 #include "jasminemast/net/httpserver.h"
 #include "jasminemast/support/random.h"
 
+#include <nlohmann/json_fwd.hpp>
+
 #include <sys/types.h>
 
 #include <filesystem>
@@ -43,6 +47,7 @@
     bool repeatable = false;
     std::size_t paddingBytes = 0;
     unsigned status = 0; ///< 0: the connection broke
+    bool wasRead = true; ///< false: the node's kernel reset the connection, as the node had not read the whole call
     std::string outcome; ///< the Jasminemast-Outcome header
     std::string body;
 };
@@ -75,8 +80,20 @@
         return m_exitStatuses;
     }
     void setHealth(std::size_t host, const std::string &state);
-    /// From now on, the target of \p host takes calls and never answers them.
+    /// From now on, the target of \p host takes calls and does not answer them.
     void withholdResponses(std::size_t host);
+    /// Has the target of \p host answer all calls that it has withheld, and those that follow.
+    void releaseResponses(std::size_t host);
+    /// Merges \p settings, a JSON object, into the node's settings file.
+    void changeSettings(std::size_t host, const std::string &settings);
+    /// Puts \p text in the place of the node's settings file.
+    void replaceSettingsFile(std::size_t host, const std::string &text);
+    /// Publishes the next ticket, which holds \p changes, a JSON object. Returns its number.
+    unsigned publishTicket(const std::string &changes);
+    /// Opens a link to the node for isExiting().
+    void watchExit(std::size_t host);
+    /// True from the moment at which the node closes its links for its exit. Needs watchExit() before the drain.
+    [[nodiscard]] bool isExiting(std::size_t host) const;
 
     /// Makes \p total calls, some concurrently, and calls \p onProgress after each one with the number of ended calls.
     void call(std::size_t total, const std::function<void(std::size_t ended)> &onProgress);
@@ -86,6 +103,12 @@
     void keepCalling(const CallPlan &plan, std::size_t concurrent);
     /// Starts no further calls and waits for the open ones to end.
     void finishCalls();
+    /// Opens \p count connections to the node of plan.entryHost and makes one call on each.
+    void keepConnections(const CallPlan &plan, std::size_t count);
+    /// Starts a call on a kept connection that the node has left open, and returns its key; unset: there is none.
+    std::optional<std::string> callOnKeptConnection(const CallPlan &plan);
+    /// Records the calls that were cut on kept connections to the node, which has exited.
+    void recordCutCalls(std::size_t host);
     /// Runs the loop for \p duration.
     void runFor(Milliseconds duration);
     /// Runs the loop until \p isReached returns true.
@@ -121,14 +144,25 @@
         bool isWithholding = false;
         std::vector<std::shared_ptr<HttpExchange>> withheld;
     };
+    struct Caller
+    {
+        std::size_t entryHost;
+        std::unique_ptr<KeptConnection> connection;
+        CallRecord call; ///< the last one
+        bool isRecorded = true; ///< false while the call is open
+    };
 
     [[nodiscard]] std::string address(std::size_t host) const;
-    [[nodiscard]] std::string callerUrl(std::size_t host) const;
+    [[nodiscard]] SocketAddress callerAddress(std::size_t host) const;
     void publishConfiguration();
+    void acceptTicket(const nlohmann::json &ticket);
+    void respondToPoll(const std::shared_ptr<HttpExchange> &exchange);
+    void respond(const std::shared_ptr<HttpExchange> &exchange);
     void handlePlatformRequest(const std::shared_ptr<HttpExchange> &exchange);
     void handleTargetRequest(std::size_t host, const std::shared_ptr<HttpExchange> &exchange);
     void send(const CallPlan &plan, const std::string &key, std::function<void()> onEnded);
     std::string nextKey(const CallPlan &plan);
+    void sendOn(Caller &caller, const CallPlan &plan, const std::string &key);
     void startNextCall();
     void callRepeatedly(const CallPlan &plan);
     void killNode(std::size_t host);
@@ -152,7 +186,10 @@
     std::unique_ptr<HttpServer> m_platform;
     std::map<std::string, std::string>
         m_platformValues; ///< values of the configuration service and the host list, by path
-    std::string m_hosts; ///< the host list
+    unsigned m_ticketNumber = 0;
+    std::string m_ticketDigest;
+    unsigned m_platformIndex = 0;
+    std::vector<std::shared_ptr<HttpExchange>> m_polls; ///< wait for the next change
     std::vector<std::unique_ptr<Target>> m_targets;
     std::vector<pid_t> m_nodes; ///< 0 while the node is not running
     std::set<std::size_t> m_restarting; ///< nodes that were sent SIGTERM and whose next process is not ready
@@ -160,6 +197,8 @@
     std::vector<std::unique_ptr<Timer>> m_timers;
     std::map<std::string, std::size_t> m_runsByCall; ///< how often targets ran each call, by key
     std::vector<CallRecord> m_records;
+    std::vector<std::unique_ptr<Caller>> m_callers; ///< on kept connections
+    std::map<std::size_t, Descriptor> m_exitProbes; ///< links that send nothing, by host
     std::size_t m_startedCalls = 0;
     std::size_t m_totalCalls = 0;
     bool m_keepsCalling = false;
--- a/unittests/node/fleetcalls.cpp
+++ b/unittests/node/fleetcalls.cpp
@@ -95,7 +95,8 @@
 {
     HttpClientRequest request;
     request.method = plan.repeatable ? "GET" : "POST";
-    request.url = callerUrl(plan.entryHost) + "/" + key + "?padding=" + std::to_string(plan.paddingBytes);
+    request.url = "http://" + callerAddress(plan.entryHost).toString() + "/" + key
+        + "?padding=" + std::to_string(plan.paddingBytes);
     request.headers = {{"Jasminemast-Deadline-Ms", std::to_string(plan.deadline.count())}};
     request.timeout = plan.deadline + CallerPatience;
     request.atMostOnce = true;
@@ -116,6 +117,68 @@
                    });
 }
 
+void Fleet::keepConnections(const CallPlan &plan, std::size_t count)
+{
+    for (std::size_t i = 0; i < count; ++i) {
+        auto caller = std::make_unique<Caller>();
+        caller->entryHost = plan.entryHost;
+        caller->connection = std::make_unique<KeptConnection>(m_loop, callerAddress(plan.entryHost));
+        sendOn(*caller, plan, nextKey(plan));
+        awaitState([&caller] { return caller->isRecorded; });
+        m_callers.push_back(std::move(caller));
+    }
+}
+
+std::optional<std::string> Fleet::callOnKeptConnection(const CallPlan &plan)
+{
+    const auto caller = std::find_if(m_callers.begin(), m_callers.end(), [&plan](const auto &candidate) {
+        return candidate->entryHost == plan.entryHost && candidate->connection->isIdle();
+    });
+    if (caller == m_callers.end()) {
+        return std::nullopt;
+    }
+    std::string key = nextKey(plan);
+    sendOn(**caller, plan, key);
+    return key;
+}
+
+void Fleet::sendOn(Caller &caller, const CallPlan &plan, const std::string &key)
+{
+    caller.call = CallRecord();
+    caller.call.key = key;
+    caller.call.repeatable = plan.repeatable;
+    caller.call.paddingBytes = plan.paddingBytes;
+    caller.isRecorded = false;
+    const std::string request = std::string(plan.repeatable ? "GET" : "POST") + " /" + key
+        + "?padding=" + std::to_string(plan.paddingBytes) + " HTTP/1.1\r\nHost: " + address(plan.entryHost)
+        + "\r\nJasminemast-Deadline-Ms: " + std::to_string(plan.deadline.count())
+        + (plan.repeatable ? "" : "\r\nContent-Length: 0") + "\r\n\r\n";
+    caller.connection->send(request,
+                            [this, &caller](unsigned status, const HttpHeaders &headers, const std::string &body) {
+                                caller.call.status = status;
+                                const std::string *outcome = findHeader(headers, "Jasminemast-Outcome");
+                                caller.call.outcome = outcome == nullptr ? "" : *outcome;
+                                caller.call.body = body;
+                                caller.isRecorded = true;
+                                m_records.push_back(caller.call);
+                            });
+}
+
+void Fleet::recordCutCalls(std::size_t host)
+{
+    const auto isOpen = [host](const auto &caller) {
+        return caller->entryHost == host && !caller->isRecorded && !caller->connection->isCut();
+    };
+    awaitState([&] { return std::none_of(m_callers.begin(), m_callers.end(), isOpen); });
+    for (const auto &caller : m_callers) {
+        if (caller->entryHost == host && !caller->isRecorded) {
+            caller->isRecorded = true;
+            caller->call.wasRead = !caller->connection->isReset();
+            m_records.push_back(caller->call);
+        }
+    }
+}
+
 const CallRecord *Fleet::findRecord(const std::string &key) const
 {
     const auto found = std::find_if(m_records.begin(), m_records.end(),
@@ -160,7 +223,7 @@
         if (record.status == StatusOk && (runs == 0 || record.body != responseFor(record.key, record.paddingBytes))) {
             found.push_back("wrong or incomplete response: " + record.key);
         }
-        if (record.status == 0) {
+        if (record.status == 0 && (record.wasRead || runs > 0)) {
             found.push_back("connection lost: " + record.key);
         }
     }
