[net] Test of requests that arrive while their idle connection is closed

Looked for LOST in HttpServer::closeIdleConnections(): a request that arrives after the server has read its sockets and before it shuts the connection down could run, with nobody to answer. It isn't passed on: libmicrohttpd drops what it reads from a connection with EPOLLHUP. No change; HandlesNoRequestThatArrivesAsItsConnectionIsClosed keeps it so, and passes.

--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -28,7 +28,12 @@
                 ++m_handledRequests;
                 handler(exchange);
             },
-            [this](ResultCode code) { ++m_refusals[code]; });
+            [this](ResultCode code) {
+                ++m_refusals[code];
+                if (m_onRefusal) {
+                    m_onRefusal();
+                }
+            });
     }
 
     void startEcho()
@@ -50,6 +55,7 @@
     SocketAddress m_address = testAddress();
     HttpServerLimits m_limits;
     std::map<ResultCode, int> m_refusals;
+    std::function<void()> m_onRefusal;
     int m_handledRequests = 0;
     std::unique_ptr<HttpServer> m_server;
 };
@@ -407,5 +413,31 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return busy.received("complete") && busy.isClosed(); }));
 }
 
+// Such a request would run, and its caller would get no response.
+TEST_F(HttpServerTest, HandlesNoRequestThatArrivesAsItsConnectionIsClosed)
+{
+    startEcho();
+    const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+    TestPeer idle(m_address);
+    runUntil(m_loop, [&] { return idle.write(request) > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return idle.received("HTTP/1.1 200"); }));
+    TestPeer malformed(m_address);
+    runUntil(m_loop, [&] { return malformed.write("GET / HTTP/1.1\r\nHost: a\r\n") > 0; });
+    m_loop.post([this] { m_loop.stop(); });
+    m_loop.run();
+    ASSERT_GT(malformed.write("nonsense\r\n\r\n"), 0U);
+    // Called after the server has read what had arrived, and before it closes idle connections.
+    m_onRefusal = [&idle, &request] {
+        EXPECT_EQ(idle.write(request), request.size());
+    };
+
+    m_server->stopAccepting();
+    m_server->closeIdleConnections();
+
+    EXPECT_EQ(m_refusals, (std::map<ResultCode, int> {{ResultCode::BadRequest, 1}}));
+    EXPECT_TRUE(runUntil(m_loop, [&] { return idle.isClosed(); }));
+    EXPECT_EQ(m_handledRequests, 1);
+}
+
 } // namespace
 } // namespace jasminemast
