[node] Finish links only once callers have no open connection

What callers can see: a request is read and its connection closes without an answer (LOST). A response that was begun before SIGTERM says nothing of a close, so its connection can become idle between two checks of the drain. If that was the node's last work, one check closed idle connections, which reads what has arrived first, and then finished the links: a request read then is dispatched after its links have stopped sending.

A node finishes its links before the end of its time only if it has no connection of a caller, idle or not. LinksAreNotFinishedWhileACallerHasAnOpenConnection fails without the change in nodedrain.cpp and passes with it.

--- a/include/jasminemast/net/httpserver.h
+++ b/include/jasminemast/net/httpserver.h
@@ -55,6 +55,11 @@
     {
         return m_openExchanges.size();
     }
+    /// The number of connections that are not closed, with or without an open request.
+    [[nodiscard]] std::size_t connections() const
+    {
+        return m_connections.size();
+    }
 
 private:
     friend class HttpExchange;
--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -17,6 +17,7 @@
 {
     std::size_t calls = 0; ///< calls of its callers without a complete response
     std::size_t unwrittenResponses = 0; ///< requests of its callers whose response is not completely written
+    std::size_t callerConnections = 0; ///< connections of its callers, idle ones included
     std::size_t attempts = 0; ///< attempts that its target runs, or that wait for it
     bool hasQueuedFrames = false; ///< some frames for other nodes are not written
     std::size_t finishingLinks = 0; ///< see LinkPool::finishingLinks()
@@ -39,8 +40,8 @@
 
 /// The drain of one node. Without a grace time it lasts until all calls have ended.
 ///
-/// Invariants: StopAcceptingLinks and FinishLinks come before Exit. Before the time is over, they come only if no work is
-/// left after CloseIdleConnections, so that each request that was read is answered.
+/// Invariants: StopAcceptingLinks and FinishLinks come before Exit. Before the time is over, they come only if no work
+/// is left and callers have no open connection, so that each request that was read is answered.
 class NodeDrain
 {
 public:
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -235,9 +235,13 @@
 
 DrainWork Node::drainWork() const
 {
-    return {m_entryProxy.openCalls(),        m_callerServer.open(),
-            m_targetProxy.core().accepted(), m_links.hasPending(),
-            m_links.finishingLinks(),        std::max(m_entryProxy.lastActivity(), m_targetProxy.lastArrival())};
+    return {m_entryProxy.openCalls(),
+            m_callerServer.open(),
+            m_callerServer.connections(),
+            m_targetProxy.core().accepted(),
+            m_links.hasPending(),
+            m_links.finishingLinks(),
+            std::max(m_entryProxy.lastActivity(), m_targetProxy.lastArrival())};
 }
 
 void Node::checkDrained()
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -38,7 +38,8 @@
     if (m_linksFinishedAt) {
         return steps;
     }
-    const bool hasNoWork = m_hasClosedIdleConnections && isIdle(work, now);
+    // A connection may have become idle since they were closed, and its next request may just be there.
+    const bool hasNoWork = m_hasClosedIdleConnections && work.callerConnections == 0 && isIdle(work, now);
     addLeavingSteps(steps, work, now);
     if (!m_linksStoppedAt && (hasNoWork || isTimeOver(m_settings.flush / 2, now))) {
         m_linksStoppedAt = now;
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -117,6 +117,24 @@
     }
 }
 
+// The request that comes next on a connection that has just become idle would be read, and not be passed on.
+TEST(NodeDrainTest, LinksAreNotFinishedWhileACallerHasAnOpenConnection)
+{
+    for (const DrainSettings &settings : {WithExitTime, WithoutExitTime}) {
+        NodeDrain drain(settings, Start);
+        DrainWork work;
+        work.callerConnections = 1;
+        EXPECT_THAT(drain.tick(work, Start + 1s), Contains(DrainStep::CloseIdleConnections));
+        const DrainSteps next = drain.tick(work, Start + 1'020ms);
+        EXPECT_THAT(next, Contains(DrainStep::CloseIdleConnections));
+        EXPECT_THAT(next, Not(Contains(DrainStep::StopAcceptingLinks)));
+        EXPECT_THAT(drain.tick(work, Start + 2s), Not(Contains(DrainStep::FinishLinks)));
+        work.callerConnections = 0;
+        EXPECT_THAT(drain.tick(work, Start + 3s), Contains(DrainStep::StopAcceptingLinks));
+        EXPECT_THAT(drain.tick(work, Start + 4s), Contains(DrainStep::FinishLinks));
+    }
+}
+
 TEST(NodeDrainTest, WithoutExitTimeWaitsForOpenCalls)
 {
     NodeDrain drain(WithoutExitTime, Start);
