[node] Stop accepting links while a draining node still serves its callers

What callers saw: nodes that restart were without their callers' listener for 200 ms longer since, as the time in which last attempts are refused began only once no work was left.

What counts is that the target of the node has no attempts, so that no other node needs a new link. So that time begins 200 ms before the end of lingering.

--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -40,8 +40,9 @@
 
 /// The drain of one node. Without a grace time it lasts until all calls have ended.
 ///
-/// Invariants: StopAcceptingLinks and FinishLinks come before Exit. Before the time is over, they come only if no work
-/// is left and callers have no open connection, so that each request that was read is answered.
+/// Invariants: StopAcceptingLinks comes before FinishLinks, and FinishLinks before Exit. Before the time is over,
+/// FinishLinks comes only if no work is left and callers have no open connection, so that each request that was read is
+/// answered.
 class NodeDrain
 {
 public:
@@ -75,6 +76,8 @@
     }
 
 private:
+    /// True once other nodes have no reason to open a link.
+    [[nodiscard]] bool canStopAcceptingLinks(const DrainWork &work, TimePoint now) const;
     /// True once \p extra has passed after the grace time.
     [[nodiscard]] bool isTimeOver(Duration extra, TimePoint now) const;
     [[nodiscard]] bool isExitDue(const DrainWork &work, TimePoint now) const;
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -41,7 +41,7 @@
     // A connection may have become idle since they were closed, and its next request may just be there.
     const bool hasNoWork = m_hasClosedIdleConnections && work.callerConnections == 0 && isIdle(work, now);
     addLeavingSteps(steps, work, now);
-    if (!m_linksStoppedAt && (hasNoWork || isTimeOver(m_settings.flush / 2, now))) {
+    if (!m_linksStoppedAt && (canStopAcceptingLinks(work, now) || isTimeOver(m_settings.flush / 2, now))) {
         m_linksStoppedAt = now;
         steps.push_back(DrainStep::StopAcceptingLinks);
     }
@@ -53,6 +53,13 @@
     return steps;
 }
 
+bool NodeDrain::canStopAcceptingLinks(const DrainWork &work, TimePoint now) const
+{
+    // While attempts run, their nodes need a new link when one is lost.
+    const Duration since = now - m_startedAt;
+    return since >= m_settings.serve && since >= m_settings.linger - RefusalTime && work.attempts == 0;
+}
+
 bool NodeDrain::isTimeOver(Duration extra, TimePoint now) const
 {
     return m_graceEndedAt && now >= *m_graceEndedAt + extra;
