--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -1,4 +1,4 @@
-// Responses to callers when their target's host is removed from the host list or cuts the response, or their node exits.
+// Responses to callers when the host of their target is removed or cuts the response, or when their node exits.
 #include "jasminemast/node/entryproxy.h"
 
 #include "../net/testpeer.h"
