--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -7,6 +7,7 @@
 #include "jasminemast/node/responsesink.h"
 #include "jasminemast/node/views.h"
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -41,11 +42,20 @@
     Milliseconds retryAfter {0}; ///< delay until a call that was not run may be sent again
 };
 
+/// What the deadline of a call follows from.
+enum class DeadlineSource : std::uint8_t {
+    Caller, ///< the time that the caller gave, or the default
+    Route, ///< the route's timeout
+};
+
 /// Times of one call.
 struct EntryTimes
 {
     TimePoint arrivedAt;
     TimePoint softDeadline; ///< as in CallSpec
+    Duration unread {0}; ///< how long the request may have waited unread because of a pause
+    Duration timeout {0}; ///< time from the arrival until the deadline
+    DeadlineSource source = DeadlineSource::Caller; ///< of the timeout
 };
 
 /// How far the response to a call has come.
@@ -73,13 +83,18 @@
     }
     /// The caller's id of the request; empty without one.
     [[nodiscard]] std::string requestId() const;
-    [[nodiscard]] TimePoint arrivedAt() const
+    [[nodiscard]] const EntryTimes &times() const
+    {
+        return m_times;
+    }
+    /// Host of the latest attempt; empty before the first.
+    [[nodiscard]] const HostId &targetHost() const
     {
-        return m_times.arrivedAt;
+        return m_targetHost;
     }
-    [[nodiscard]] TimePoint softDeadline() const
+    void setTargetHost(const HostId &host)
     {
-        return m_times.softDeadline;
+        m_targetHost = host;
     }
     [[nodiscard]] ResponseProgress progress() const;
     [[nodiscard]] HttpExchange &exchange() const
@@ -117,6 +132,7 @@
     const Route *m_route; ///< in m_state
     const CallHeaders &m_headers;
     EntryTimes m_times;
+    HostId m_targetHost; ///< of the latest attempt
     std::shared_ptr<AttemptHandle> m_handle; ///< attempt in progress
     bool m_isHeadHeld = false;
     std::optional<HeldHead> m_heldHead; ///< of the response that has not begun for the caller
--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -80,7 +80,8 @@
 private:
     class Sink;
 
-    void routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline);
+    void routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline,
+                   Duration unread);
     /// Ends a request of m_waitingForTicket, whose ticket came too late.
     void refuseWaiting(const std::shared_ptr<HttpExchange> &exchange);
     void perform(const EntryActions &actions);
--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -51,6 +51,11 @@
     {
         return m_startedAt;
     }
+    /// Time that the target was given.
+    [[nodiscard]] Milliseconds timeout() const
+    {
+        return m_timeout;
+    }
     [[nodiscard]] const OpenMessage &open() const
     {
         return m_open;
@@ -78,6 +83,7 @@
     std::function<std::size_t()> m_window;
     ResultCode m_responseError = ResultCode::Ok; ///< why the response is not forwarded
     TimePoint m_startedAt;
+    Milliseconds m_timeout {0};
     std::string m_requestBody;
     std::shared_ptr<ResponseSink> m_sink;
     std::shared_ptr<TargetTransfer> m_transfer;
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -34,15 +34,24 @@
     return limits;
 }
 
+std::string formatMilliseconds(Duration duration)
+{
+    return std::to_string(std::chrono::duration_cast<Milliseconds>(duration).count());
+}
+
 /// Logs \p call, which ends without a complete response because of \p code.
 void logIncompleteCall(Event event, const EntryCall &call, TimePoint now, ResultCode code)
 {
-    const auto since = std::chrono::duration_cast<Milliseconds>(now - call.arrivedAt());
     const ResponseProgress progress = call.progress();
+    const EntryTimes &times = call.times();
     logEvent(event,
              {{"request", call.requestId()},
               {"code", std::to_string(number(code))},
-              {"ms", std::to_string(since.count())},
+              {"ms", formatMilliseconds(now - times.arrivedAt)},
+              {"unreadMs", formatMilliseconds(times.unread)},
+              {"limit", times.source == DeadlineSource::Route ? "route" : "caller"},
+              {"limitMs", formatMilliseconds(times.timeout)},
+              {"host", call.targetHost().value()},
               {"response", progress.isStarted ? "started" : "none"},
               {"received", std::to_string(progress.received)},
               {"unsent", std::to_string(progress.unsent)},
@@ -160,14 +169,15 @@
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     const CallerLimits limits = callerLimits(exchange->request().headers, m_headers.names, m_settings.defaultDeadline);
-    const TimePoint arrived = now - m_context.pauseDetector.inputAge(now);
+    const Duration unread = m_context.pauseDetector.inputAge(now);
+    const TimePoint arrived = now - unread;
     const TimePoint deadline = std::min(arrived + limits.deadline, m_latestDeadline);
     if (limits.minTicket <= m_context.config.current()->number) {
-        routeCall(exchange, arrived, deadline);
+        routeCall(exchange, arrived, deadline, unread);
         return;
     }
     m_waitingForTicket.insert(exchange);
-    m_context.config.whenReached(limits.minTicket, deadline, [this, exchange, arrived, deadline](bool reached) {
+    m_context.config.whenReached(limits.minTicket, deadline, [this, exchange, arrived, deadline, unread](bool reached) {
         if (!m_waitingForTicket.contains(exchange)) {
             return;
         }
@@ -176,7 +186,7 @@
             return;
         }
         m_waitingForTicket.erase(exchange);
-        routeCall(exchange, arrived, std::min(deadline, m_latestDeadline));
+        routeCall(exchange, arrived, std::min(deadline, m_latestDeadline), unread);
     });
 }
 
@@ -188,7 +198,8 @@
                        ResultCode::TicketNotReached, failureHeaders(TimePoint::max()));
 }
 
-void EntryProxy::routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline)
+void EntryProxy::routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline,
+                           Duration unread)
 {
     updateConfiguration();
     const HttpRequest &request = exchange->request();
@@ -214,9 +225,11 @@
         spec.softDeadline = arrived + route->targetLatency - callerWait;
     }
     const EntryCore::BeginResult result = m_core.begin(spec, m_context.clock.now());
-    m_calls.emplace(
-        result.call,
-        std::make_unique<EntryCall>(exchange, state, route, m_headers, EntryTimes {arrived, spec.softDeadline}));
+    EntryTimes times {arrived, spec.softDeadline};
+    times.unread = unread;
+    times.timeout = spec.deadline - arrived;
+    times.source = spec.deadline < deadline ? DeadlineSource::Route : DeadlineSource::Caller;
+    m_calls.emplace(result.call, std::make_unique<EntryCall>(exchange, state, route, m_headers, times));
     if (m_calls.size() == 1) {
         scheduleTick();
     }
@@ -269,6 +282,7 @@
     if (call == nullptr) {
         return;
     }
+    call->setTargetHost(send.host);
     const auto sink = std::make_shared<Sink>(*this, send.request.attempt);
     if (send.host == m_self.host) {
         call->setHandle(
@@ -372,13 +386,13 @@
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     if (end.outcome == Outcome::Answered) {
-        m_context.metrics.observe(Summary::CallDuration, now - call->arrivedAt());
+        m_context.metrics.observe(Summary::CallDuration, now - call->times().arrivedAt);
     }
     if (end.outcome == Outcome::Unknown && end.code != ResultCode::CallerGone) {
         const Event event = now < m_latestDeadline ? Event::CallUnknown : Event::CallCutByExit;
         logIncompleteCall(event, *call, now, end.code);
     }
-    call->finish(end.outcome, end.code, failureHeaders(call->softDeadline()));
+    call->finish(end.outcome, end.code, failureHeaders(call->times().softDeadline));
 }
 
 void EntryProxy::logOpenCalls() const
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -45,6 +45,7 @@
     transfer.method = m_open.method;
     transfer.target = m_open.target;
     m_startedAt = request.startedAt;
+    m_timeout = request.remaining;
     m_names = request.headers;
     m_window = request.window;
     transfer.headers = requestHeaders(m_open, m_names, request.remaining);
--- a/lib/node/targetproxy.cpp
+++ b/lib/node/targetproxy.cpp
@@ -227,7 +227,10 @@
               {"endpoint", open.endpoint.value()},
               {"code", std::to_string(number(code))},
               {"detail", detail},
-              {"ms", std::to_string(since.count())}});
+              {"ms", std::to_string(since.count())},
+              {"timeoutMs", std::to_string(attempt.timeout().count())},
+              {"allowedMs", std::to_string(open.remainingMs)},
+              {"peer", open.attempt.call.node.value()}});
 }
 
 void TargetProxy::refuse(const targetaction::Refuse &refusal)
