[tests] Calls that are read after a pause are cut before the deadlines of their callers

Callers saw connections closed in the middle of a response, 0.5 to 0.8 s before the longest deadline of their kind. The four tests fail on the current code: a request that is read within 200 ms after a pause loses the length of the pause, at the entry node, at the target's node, and in the timeout of the transfer from the target, although it may have arrived just before.

--- a/unittests/node/callservertest.cpp
+++ b/unittests/node/callservertest.cpp
@@ -39,8 +39,11 @@
     Link::Handlers entryHandlers()
     {
         Link::Handlers handlers;
-        handlers.onFrame = [this](const std::shared_ptr<Link> &, FrameType type, std::string_view) {
+        handlers.onFrame = [this](const std::shared_ptr<Link> &, FrameType type, std::string_view payload) {
             m_heads += type == static_cast<FrameType>(CallFrame::Head) ? 1 : 0;
+            if (type == static_cast<FrameType>(CallFrame::End)) {
+                m_endCodes.push_back(decodeMessage<EndMessage>(payload, ResultCode::FrameMalformed).code);
+            }
         };
         handlers.onUp = [](const std::shared_ptr<Link> &) {
         };
@@ -64,6 +67,30 @@
         m_link->send(static_cast<FrameType>(CallFrame::Open), encodeMessage(open));
     }
 
+    void pause(Duration length)
+    {
+        m_clock.advance(length);
+        ASSERT_TRUE(m_pauseDetector.observe(m_clock.now()));
+    }
+
+    /// Runs the loop for longer than the node's interval between checks of deadlines, and than \p atLeast.
+    void runTicks(Milliseconds atLeast)
+    {
+        constexpr Milliseconds Ticks {30};
+        bool isOver = false;
+        Timer timer(m_loop, [&] { isOver = true; });
+        timer.start(atLeast + Ticks);
+        ASSERT_TRUE(runUntil(m_loop, [&] { return isOver; }));
+    }
+
+    /// Has the target of a withheld request respond.
+    void respond()
+    {
+        ASSERT_EQ(m_withheld.size(), 1U);
+        m_withheld.front()->respond(200, {}, "x");
+        ASSERT_TRUE(runUntil(m_loop, [&] { return !m_endCodes.empty(); }));
+    }
+
     /// True once the target has finished all responses and some of their bytes are queued.
     bool areResponsesQueued(std::size_t responses)
     {
@@ -74,18 +101,23 @@
     }
 
     Loop m_loop;
-    SystemClock m_clock;
+    ManualClock m_clock;
     Metrics m_metrics {m_clock};
     PauseDetector m_pauseDetector {PauseDetectorLimits {}, m_clock.now()};
     SocketAddress m_targetAddress = testAddress();
     SocketAddress m_targetHostAddress = testAddress();
     OneTargetFleet m_fleet {m_targetAddress};
     CallSettings m_settings;
-    HttpServer m_target {
-        m_loop, m_targetAddress, HttpServerLimits {},
-        [](const std::shared_ptr<HttpExchange> &exchange) { exchange->respond(200, {}, std::string(BodyBytes, 'x')); },
-        [](ResultCode) {
-        }};
+    HttpServer m_target {m_loop, m_targetAddress, HttpServerLimits {},
+                         [this](const std::shared_ptr<HttpExchange> &exchange) {
+                             if (m_isWithholding) {
+                                 m_withheld.push_back(exchange);
+                                 return;
+                             }
+                             exchange->respond(200, {}, std::string(BodyBytes, 'x'));
+                         },
+                         [](ResultCode) {
+                         }};
     LinkPool m_targetHost {m_loop,
                            m_clock,
                            LinkIdentity {HostId("target-host"), Incarnation(7)},
@@ -108,6 +140,9 @@
                       testAddress(), LinkSettings {}, entryHandlers()};
     std::shared_ptr<Link> m_link = m_entry.connect(HostId("target-host"), m_targetHostAddress);
     std::size_t m_heads = 0;
+    std::vector<std::uint32_t> m_endCodes;
+    bool m_isWithholding = false;
+    std::vector<std::shared_ptr<HttpExchange>> m_withheld;
 };
 
 } // namespace
@@ -123,3 +158,29 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return m_targetHost.queuedBytes() == 0; }))
         << m_targetHost.queuedBytes() << " bytes are queued for nobody";
 }
+
+// The entry node ends the attempt when its caller stops waiting.
+TEST_F(CallServerTest, AttemptReadAfterAPauseIsNotCutBeforeTheDeadlineOfItsCaller)
+{
+    m_isWithholding = true;
+    pause(59s);
+    open(1);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_withheld.size() == 1; }));
+    m_clock.advance(59s);
+    runTicks(0ms);
+    respond();
+    EXPECT_EQ(m_endCodes, std::vector<std::uint32_t> {0});
+}
+
+// The transfer from the target has a timeout of its own.
+TEST_F(CallServerTest, TransferOfAttemptReadAfterAPauseIsNotCutBeforeTheDeadlineOfItsCaller)
+{
+    constexpr Milliseconds Left {50};
+    m_isWithholding = true;
+    pause(60s - Left);
+    open(1);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_withheld.size() == 1; }));
+    runTicks(Left * 2);
+    respond();
+    EXPECT_EQ(m_endCodes, std::vector<std::uint32_t> {0});
+}
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -1,4 +1,5 @@
-// Responses to callers when the host of their target is removed or cuts the response, or when their node exits.
+// Responses to callers when the host of their target is removed or cuts the response, or when their node exits or
+// pauses.
 #include "jasminemast/node/entryproxy.h"
 
 #include "../net/testpeer.h"
@@ -90,10 +91,27 @@
                                    encodeMessage(EndMessage {1, 0, ""}));
     }
 
+    void pause(Duration length)
+    {
+        m_clock.advance(length);
+        ASSERT_TRUE(m_pauseDetector.observe(m_clock.now()));
+    }
+
+    /// Moves the clock and has the node check the deadlines of its calls.
+    void advanceAndTick(Duration step)
+    {
+        m_clock.advance(step);
+        bool isOver = false;
+        Timer timer(m_loop, [&] { isOver = true; });
+        timer.start(TickInterval * 3);
+        ASSERT_TRUE(runUntil(m_loop, [&] { return isOver; }));
+    }
+
     static constexpr std::size_t BodyBytes = 1'000;
+    static constexpr Milliseconds TickInterval {10}; ///< at least that of the node
 
     Loop m_loop;
-    SystemClock m_clock;
+    ManualClock m_clock;
     Metrics m_metrics {m_clock};
     PauseDetector m_pauseDetector {PauseDetectorLimits {}, m_clock.now()};
     SocketAddress m_targetHostAddress = testAddress();
@@ -205,3 +223,31 @@
     EXPECT_EQ(m_statuses, std::vector<unsigned> {200});
     EXPECT_EQ(m_body.size(), BodyBytes);
 }
+
+// A request that is read after a pause may have arrived just before.
+TEST_F(EntryProxyTest, ResponseToRequestReadAfterAPauseIsNotCutBeforeTheDeadlineOfItsCaller)
+{
+    pause(3s);
+    call();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 1; }));
+    sendHead();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_headFrames == 1; }));
+    advanceAndTick(3s);
+    sendBody();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {200}) << "a connection that is closed has status 0";
+    EXPECT_EQ(m_body.size(), BodyBytes);
+}
+
+// The target may still be at work for a caller that waits.
+TEST_F(EntryProxyTest, CallReadAfterAPauseIsNotFailedBeforeTheDeadlineOfItsCaller)
+{
+    pause(3s);
+    call();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 1; }));
+    advanceAndTick(3s);
+    sendHead();
+    sendBody();
+    ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {200});
+}
