[call] A call that is read after a pause goes on until its caller's deadline

Cause: what is read within 200 ms after a pause may have waited for the whole pause, so its deadline was moved forward by the length of the pause. That bound is right for starting a run and for the time that a target is told, but the same one ended calls: the entry node's, the attempt's at the target's node, and the transfer's from the target. A request that came just before the end of the pause was cut up to the whole pause before its caller stopped waiting. A process with a tenth of a core pauses 0.5 s for each configuration of 2,900 routes.

Change: ArrivalTime bounds when a message arrived. The Open message carries both. The entry node's ends first: the target's node rounds up and counts from the arrival there. CallUnknown counts from when the request was read.

Also: a message that would be sent after the deadline had a remaining time of about 2^32 ms, as a negative number was converted; it is 0 now.

--- a/include/jasminemast/call/attempt.h
+++ b/include/jasminemast/call/attempt.h
@@ -47,7 +47,8 @@
     EndpointId endpoint;
     Incarnation target; ///< process that the message is meant for
     LinkGeneration generation; ///< link that carries this message
-    Microseconds remaining {0}; ///< time left until the deadline when the message was sent
+    Microseconds remaining {0}; ///< time left until the start deadline when the message was sent, see CallSpec
+    Microseconds responseTimeout {0}; ///< time left until the deadline; if less than `remaining`, that counts
     bool repeatable = false; ///< idempotent: may run more than once
     unsigned priority = 0; ///< of the route; 0 is the most urgent
     Microseconds softTimeout = Microseconds::max(); ///< time left until the soft deadline
--- a/include/jasminemast/call/callmachine.h
+++ b/include/jasminemast/call/callmachine.h
@@ -144,7 +144,7 @@
 {
 public:
     /// \p maxAttempts: maximum number of targets that may receive the call; 0: the limit of the retry budget.
-    CallMachine(bool repeatable, TimePoint deadline, std::uint32_t maxAttempts = 0);
+    CallMachine(bool repeatable, TimePoint startDeadline, std::uint32_t maxAttempts = 0);
 
     /// The first action of a new call.
     CallActions start();
@@ -163,14 +163,10 @@
     {
         return m_attempt;
     }
-    /// Makes the deadline \p latest if it is later.
-    void limitDeadline(TimePoint latest)
+    /// Makes the start deadline \p latest if it is later.
+    void limitStartDeadline(TimePoint latest)
     {
-        m_deadline = std::min(m_deadline, latest);
-    }
-    [[nodiscard]] TimePoint deadline() const
-    {
-        return m_deadline;
+        m_startDeadline = std::min(m_startDeadline, latest);
     }
 
 private:
@@ -210,7 +206,7 @@
     CallActions finish(Outcome outcome, ResultCode code, std::optional<ResultCode> retryRefusal = std::nullopt);
 
     bool m_repeatable;
-    TimePoint m_deadline;
+    TimePoint m_startDeadline; ///< no attempt starts later
     std::uint32_t m_maxAttempts; ///< 0: the limit of the retry budget
     std::uint32_t m_refusals = 0; ///< attempts that ended before anything was sent to the target
     Phase m_phase = Phase::ChoosingEndpoint;
--- a/include/jasminemast/call/entry.h
+++ b/include/jasminemast/call/entry.h
@@ -37,7 +37,10 @@
     RouteId route;
     ServiceId service;
     bool repeatable = false; ///< idempotent: may run more than once
-    TimePoint deadline;
+    TimePoint deadline; ///< the caller does not wait any longer, so that the call ends
+    /// The caller may already have stopped waiting, since it is not known exactly when it began: no attempt starts
+    /// later, and targets get no more time. At most the deadline.
+    TimePoint startDeadline = TimePoint::max();
     std::uint32_t maxAttempts = 0; ///< maximum number of targets that may receive the call; 0: the node's default
     unsigned priority = 0; ///< 0 is the most urgent
     TimePoint softDeadline = TimePoint::max(); ///< a later response has lost most of its value to the caller
--- a/include/jasminemast/call/messages.h
+++ b/include/jasminemast/call/messages.h
@@ -39,7 +39,8 @@
     AttemptId attempt;
     Incarnation peer; ///< process that the message is meant for
     LinkGeneration generation; ///< of this link, as counted by the requester
-    std::uint32_t remainingMs = 0; ///< time left until the deadline when the message was sent
+    std::uint32_t remainingMs = 0; ///< as in OpenRequest
+    std::uint32_t responseTimeoutMs = 0; ///< as in OpenRequest
     TicketNumber ticket; ///< configuration that the requester used for routing
     EndpointId endpoint;
     bool repeatable = false; ///< idempotent: may run more than once
@@ -53,8 +54,9 @@
     template<class Archive>
     void serialize(Archive &archive)
     {
-        archive(stream, attempt, peer, generation, remainingMs, ticket, endpoint, repeatable, priority, softTimeoutMs);
-        archive(method, target, headers, bodyBytes);
+        archive(stream, attempt, peer, generation, remainingMs, responseTimeoutMs, ticket, endpoint, repeatable,
+                priority);
+        archive(softTimeoutMs, method, target, headers, bodyBytes);
     }
 };
 
--- a/include/jasminemast/call/pausedetector.h
+++ b/include/jasminemast/call/pausedetector.h
@@ -15,6 +15,14 @@
         = std::chrono::milliseconds(200); ///< input read within this time after a pause may have arrived during it
 };
 
+/// Bounds of the time at which a message that was read reached this host. They differ after a pause, since the message
+/// may have arrived at any time during it, or later.
+struct ArrivalTime
+{
+    TimePoint earliest;
+    TimePoint latest;
+};
+
 /// Measures the gaps between observations of the clock.
 ///
 /// The owner calls observe() at the start of each iteration of its event loop, and at least several times per
@@ -32,8 +40,8 @@
     /// head of the ticket log again.
     std::optional<Duration> observe(TimePoint now);
 
-    /// How long a message read now may have waited because of a pause; to be subtracted from its remaining time.
-    [[nodiscard]] Duration inputAge(TimePoint now) const;
+    /// When a message read now has arrived.
+    [[nodiscard]] ArrivalTime arrivalTime(TimePoint now) const;
 
 private:
     PauseDetectorLimits m_limits;
--- a/include/jasminemast/call/target.h
+++ b/include/jasminemast/call/target.h
@@ -4,6 +4,7 @@
 #include "jasminemast/call/admission.h"
 #include "jasminemast/call/drain.h"
 #include "jasminemast/call/fence.h"
+#include "jasminemast/call/pausedetector.h"
 #include "jasminemast/support/metrics.h"
 
 #include <map>
@@ -38,7 +39,8 @@
 {
     AttemptId attempt;
     EndpointId endpoint;
-    TimePoint deadline; ///< passed on to the target
+    TimePoint startDeadline; ///< passed on to the target as its deadline
+    TimePoint deadline; ///< the transfer of the response ends
     bool repeatable; ///< idempotent: may run more than once
 };
 /// Abort a request that the target runs; the attempt already counts as lost.
@@ -88,8 +90,8 @@
     /// Applies a new ticket. Attempts on a removed endpoint still run to their end.
     TargetActions setEndpoints(const std::vector<LocalEndpoint> &endpoints, TimePoint now);
 
-    /// \p inputAge is how long the message may have waited unread (see PauseDetector).
-    TargetActions onOpen(const OpenRequest &request, Duration inputAge, TimePoint now);
+    /// \p arrival is that of the message, which may have waited unread, or for the body of the request.
+    TargetActions onOpen(const OpenRequest &request, const ArrivalTime &arrival, TimePoint now);
     TargetActions onFence(const FenceRequest &request, TimePoint now);
     /// The caller has disconnected, the deadline of the sender has passed, or its link was lost.
     TargetActions onCancel(const AttemptId &attempt, ResultCode reason, TimePoint now);
@@ -150,7 +152,8 @@
     {
         EndpointId endpoint;
         TimePoint arrived;
-        TimePoint deadline;
+        TimePoint startDeadline;
+        TimePoint deadline; ///< the entry node does not await the response any longer
         bool repeatable;
         std::optional<TimePoint> startedAt; ///< unset while queued
         bool isTransferring = false; ///< the response is being transferred and the slot is free
@@ -160,7 +163,7 @@
     void freeSlot(const AttemptId &attempt, const Accepted &accepted, TargetActions &actions, TimePoint now);
     /// Number of the endpoint's transfers that occupy no slot.
     [[nodiscard]] std::size_t transferCount(const EndpointId &endpoint) const;
-    TargetActions admit(const OpenRequest &request, TimePoint deadline, TimePoint now);
+    TargetActions admit(const OpenRequest &request, TimePoint startDeadline, TimePoint deadline, TimePoint now);
     void apply(const AdmissionActions &admissionActions, TargetActions &actions, TimePoint now);
     void start(const AttemptId &attempt, TargetActions &actions, TimePoint now);
     void refuse(const AttemptId &attempt, ResultCode code, TargetActions &actions, TimePoint now);
--- a/include/jasminemast/node/entrycall.h
+++ b/include/jasminemast/node/entrycall.h
@@ -3,6 +3,7 @@
 
 #include "jasminemast/call/entry.h"
 #include "jasminemast/call/messages.h"
+#include "jasminemast/call/pausedetector.h"
 #include "jasminemast/net/httpserver.h"
 #include "jasminemast/node/responsesink.h"
 #include "jasminemast/node/views.h"
@@ -51,9 +52,8 @@
 /// Times of one call.
 struct EntryTimes
 {
-    TimePoint arrivedAt;
+    ArrivalTime arrival;
     TimePoint softDeadline; ///< as in CallSpec
-    Duration unread {0}; ///< how long the request may have waited unread because of a pause
     Duration timeout {0}; ///< time from the arrival until the deadline
     DeadlineSource source = DeadlineSource::Caller; ///< of the timeout
 };
--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -80,8 +80,7 @@
 private:
     class Sink;
 
-    void routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline,
-                   Duration unread);
+    void routeCall(const std::shared_ptr<HttpExchange> &exchange, const ArrivalTime &arrival, Duration callerTimeout);
     /// Ends a request of m_waitingForTicket, whose ticket came too late.
     void refuseWaiting(const std::shared_ptr<HttpExchange> &exchange);
     void perform(const EntryActions &actions);
--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -18,7 +18,8 @@
 {
     SocketAddress address; ///< of the target
     TimePoint startedAt;
-    Milliseconds remaining {0};
+    Milliseconds remaining {0}; ///< passed on to the target
+    Milliseconds timeout {0}; ///< of the transfer
     HeaderNames headers;
     std::function<std::size_t()> window; ///< limit of response bytes that the requester has not consumed
     std::function<void()> onForeignResponse; ///< a response to another request was skipped; may be empty
@@ -51,7 +52,7 @@
     {
         return m_startedAt;
     }
-    /// Time that the target was given.
+    /// Timeout of the transfer.
     [[nodiscard]] Milliseconds timeout() const
     {
         return m_timeout;
--- a/include/jasminemast/node/targetproxy.h
+++ b/include/jasminemast/node/targetproxy.h
@@ -37,10 +37,10 @@
                 TargetProxyIdentity identity, const CallSettings &settings, Metrics &metrics, Announcer announcer,
                 QueuedBytesReader readQueuedBytes);
 
-    /// Runs one attempt with its complete request body, which reached this host at \p arrived. The sink is called
-    /// later, never from within this function.
+    /// Runs one attempt with its complete request body, whose message reached this host at \p arrival. The
+    /// sink is called later, never from within this function.
     std::unique_ptr<AttemptHandle> open(const OpenMessage &open, std::string body, std::shared_ptr<ResponseSink> sink,
-                                        TimePoint arrived);
+                                        const ArrivalTime &arrival);
     /// Replies to a fence; the sink is called later.
     std::unique_ptr<AttemptHandle> fence(const FenceMessage &fence, const std::shared_ptr<ResponseSink> &sink);
 
--- a/lib/call/callmachine.cpp
+++ b/lib/call/callmachine.cpp
@@ -6,9 +6,9 @@
 namespace jasminemast
 {
 
-CallMachine::CallMachine(bool repeatable, TimePoint deadline, std::uint32_t maxAttempts)
+CallMachine::CallMachine(bool repeatable, TimePoint startDeadline, std::uint32_t maxAttempts)
     : m_repeatable(repeatable)
-    , m_deadline(deadline)
+    , m_startDeadline(startDeadline)
     , m_maxAttempts(maxAttempts)
 {
 }
@@ -55,7 +55,7 @@
 
 RetryBudget::Request CallMachine::retryRequest(bool safeToRepeat, ResultCode code) const
 {
-    return {code, safeToRepeat, m_attempt, m_deadline, m_refusals, m_maxAttempts};
+    return {code, safeToRepeat, m_attempt, m_startDeadline, m_refusals, m_maxAttempts};
 }
 
 CallActions CallMachine::retryOrFinish(bool notRun, ResultCode code, RetryBudget &budget, TimePoint now)
@@ -76,7 +76,7 @@
     if (m_phase != Phase::ChoosingEndpoint) {
         return {};
     }
-    if (now >= m_deadline) {
+    if (now >= m_startDeadline) {
         return finish(outcomeWithoutResponse(), ResultCode::DeadlineExceeded);
     }
     if (m_attempt == 0) {
--- a/lib/call/entry.cpp
+++ b/lib/call/entry.cpp
@@ -31,10 +31,12 @@
 {
     const CallId id {m_identity.host, m_identity.incarnation, ++m_lastSequence};
     const TimePoint deadline = std::min(spec.deadline, m_latestDeadline);
-    CallMachine machine(spec.repeatable, deadline, spec.maxAttempts);
+    const TimePoint startDeadline = std::min(spec.startDeadline, deadline);
+    CallMachine machine(spec.repeatable, startDeadline, spec.maxAttempts);
     const CallActions first = machine.start();
     Call &call = m_calls.emplace(id, Call {spec, machine, {}, ResultCode::NoEndpoint, {}}).first->second;
     call.spec.deadline = deadline;
+    call.spec.startDeadline = startDeadline;
     m_deadlines.emplace(deadline, id);
     EntryActions actions;
     performActions(id, first, actions, now);
@@ -47,7 +49,8 @@
     m_withdrawTimeout = withdrawTimeout;
     for (auto &[id, call] : m_calls) {
         setDeadline(id, call, std::min(call.spec.deadline, latest));
-        call.machine.limitDeadline(latest);
+        call.spec.startDeadline = std::min(call.spec.startDeadline, latest);
+        call.machine.limitStartDeadline(latest);
     }
 }
 
@@ -185,13 +188,18 @@
     attempt.sent = true;
     attempt.target = peer.incarnation;
     attempt.generation = peer.generation;
-    const auto remaining = std::chrono::duration_cast<Microseconds>(call.spec.deadline - now);
+    const auto timeUntil = [now](TimePoint deadline) {
+        return std::chrono::duration_cast<Microseconds>(std::max(deadline - now, Duration::zero()));
+    };
+    const Microseconds remaining = timeUntil(call.spec.startDeadline);
+    const Microseconds responseTimeout = timeUntil(call.spec.deadline);
     const bool hasSoftDeadline = call.spec.softDeadline != TimePoint::max();
     const Microseconds softTimeout = hasSoftDeadline
         ? std::chrono::duration_cast<Microseconds>(call.spec.softDeadline - now)
         : Microseconds::max();
-    const OpenRequest request {attemptId(id, call), attempt.endpoint,     attempt.target,     attempt.generation,
-                               remaining,           call.spec.repeatable, call.spec.priority, softTimeout};
+    const OpenRequest request {attemptId(id, call),  attempt.endpoint,   attempt.target,
+                               attempt.generation,   remaining,          responseTimeout,
+                               call.spec.repeatable, call.spec.priority, softTimeout};
     actions.emplace_back(entryaction::SendOpen {attempt.host, request});
 }
 
--- a/lib/call/pausedetector.cpp
+++ b/lib/call/pausedetector.cpp
@@ -16,9 +16,10 @@
     return gap;
 }
 
-Duration PauseDetector::inputAge(TimePoint now) const
+ArrivalTime PauseDetector::arrivalTime(TimePoint now) const
 {
-    return now - m_pauseEnd < m_limits.backlogWindow ? m_pauseLength : Duration::zero();
+    const Duration maxAge = now - m_pauseEnd < m_limits.backlogWindow ? m_pauseLength : Duration::zero();
+    return {now - maxAge, now};
 }
 
 } // namespace jasminemast
--- a/lib/call/target.cpp
+++ b/lib/call/target.cpp
@@ -39,13 +39,14 @@
     return actions;
 }
 
-TargetActions TargetCore::onOpen(const OpenRequest &request, Duration inputAge, TimePoint now)
+TargetActions TargetCore::onOpen(const OpenRequest &request, const ArrivalTime &arrival, TimePoint now)
 {
-    const TimePoint deadline = now + request.remaining - inputAge;
+    const TimePoint startDeadline = arrival.earliest + request.remaining;
+    const TimePoint deadline = arrival.latest + std::max(request.remaining, request.responseTimeout);
     const AttemptId &attempt = request.attempt;
     switch (m_fence.open(request, deadline, now)) {
     case OpenResult::Fresh:
-        return admit(request, deadline, now);
+        return admit(request, startDeadline, deadline, now);
     case OpenResult::Duplicate:
         return {};
     case OpenResult::Refused:
@@ -59,7 +60,7 @@
     return {targetaction::Fail {attempt, ResultCode::AttemptTooOld}};
 }
 
-TargetActions TargetCore::admit(const OpenRequest &request, TimePoint deadline, TimePoint now)
+TargetActions TargetCore::admit(const OpenRequest &request, TimePoint startDeadline, TimePoint deadline, TimePoint now)
 {
     TargetActions actions;
     const AttemptId &attempt = request.attempt;
@@ -72,12 +73,13 @@
         refuse(attempt, ResultCode::TargetLeaving, actions, now);
         return actions;
     }
-    m_accepted.emplace(attempt, Accepted {request.endpoint, now, deadline, request.repeatable, std::nullopt});
+    m_accepted.emplace(attempt,
+                       Accepted {request.endpoint, now, startDeadline, deadline, request.repeatable, std::nullopt});
     AdmissionRank rank {request.priority, TimePoint::max()};
     if (request.softTimeout != Microseconds::max()) {
         rank.softDeadline = now + request.softTimeout;
     }
-    apply(endpoint.admission.submit(attempt, deadline, now, rank), actions, now);
+    apply(endpoint.admission.submit(attempt, startDeadline, now, rank), actions, now);
     return actions;
 }
 
@@ -99,7 +101,8 @@
     accepted.startedAt = now;
     m_metrics.observe(Summary::QueueWait, now - accepted.arrived);
     m_fence.markStarted(attempt);
-    actions.emplace_back(targetaction::Start {attempt, accepted.endpoint, accepted.deadline, accepted.repeatable});
+    actions.emplace_back(targetaction::Start {attempt, accepted.endpoint, accepted.startDeadline, accepted.deadline,
+                                              accepted.repeatable});
 }
 
 void TargetCore::refuse(const AttemptId &attempt, ResultCode code, TargetActions &actions, TimePoint now)
--- a/lib/node/callserver.cpp
+++ b/lib/node/callserver.cpp
@@ -30,7 +30,7 @@
     using LinkReference::LinkReference;
 
     OpenMessage open;
-    TimePoint arrived; ///< earliest time at which the message may have reached this host
+    ArrivalTime arrival; ///< of the message
     std::string body;
     std::unique_ptr<AttemptHandle> attempt; ///< null until the request body is complete
 };
@@ -170,7 +170,7 @@
         throw ResultError(ResultCode::FrameMalformed, "stream opened twice");
     }
     auto stream = std::make_unique<Stream>(link);
-    stream->arrived = m_clock.now();
+    stream->arrival = {m_clock.now(), m_clock.now()};
     stream->attempt
         = m_targetProxy.fence(fence, std::make_shared<LinkSink>(*this, link, fence.stream, TimePoint::max()));
     m_streams.emplace(key, std::move(stream));
@@ -191,7 +191,7 @@
     }
     auto stream = std::make_unique<Stream>(link);
     stream->open = std::move(open);
-    stream->arrived = m_clock.now() - m_pauseDetector.inputAge(m_clock.now());
+    stream->arrival = m_pauseDetector.arrivalTime(m_clock.now());
     Stream &opened = *stream;
     m_streams.emplace(key, std::move(stream));
     startIfComplete(link, opened);
@@ -218,10 +218,11 @@
         return;
     }
     const OpenMessage open = stream.open;
-    const TimePoint softDeadline
-        = open.softTimeoutMs == INT32_MAX ? TimePoint::max() : stream.arrived + Milliseconds(open.softTimeoutMs);
+    const TimePoint softDeadline = open.softTimeoutMs == INT32_MAX
+        ? TimePoint::max()
+        : stream.arrival.earliest + Milliseconds(open.softTimeoutMs);
     const auto sink = std::make_shared<LinkSink>(*this, link, open.stream, softDeadline);
-    stream.attempt = m_targetProxy.open(open, std::move(stream.body), sink, stream.arrived);
+    stream.attempt = m_targetProxy.open(open, std::move(stream.body), sink, stream.arrival);
 }
 
 void CallServer::erase(const Key &key)
--- a/lib/node/entrycall.cpp
+++ b/lib/node/entrycall.cpp
@@ -146,6 +146,9 @@
     open.peer = request.target;
     open.generation = request.generation;
     open.remainingMs = static_cast<std::uint32_t>(std::chrono::duration_cast<Milliseconds>(request.remaining).count());
+    // The target's node must not end the attempt before this node does.
+    open.responseTimeoutMs
+        = static_cast<std::uint32_t>(std::chrono::ceil<Milliseconds>(request.responseTimeout).count());
     open.ticket = m_state->number;
     open.endpoint = request.endpoint;
     open.repeatable = request.repeatable;
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -47,8 +47,8 @@
     logEvent(event,
              {{"request", call.requestId()},
               {"code", std::to_string(number(code))},
-              {"ms", formatMilliseconds(now - times.arrivedAt)},
-              {"unreadMs", formatMilliseconds(times.unread)},
+              {"ms", formatMilliseconds(now - times.arrival.latest)},
+              {"unreadMs", formatMilliseconds(times.arrival.latest - times.arrival.earliest)},
               {"limit", times.source == DeadlineSource::Route ? "route" : "caller"},
               {"limitMs", formatMilliseconds(times.timeout)},
               {"host", call.targetHost().value()},
@@ -169,15 +169,14 @@
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     const CallerLimits limits = callerLimits(exchange->request().headers, m_headers.names, m_settings.defaultDeadline);
-    const Duration unread = m_context.pauseDetector.inputAge(now);
-    const TimePoint arrived = now - unread;
-    const TimePoint deadline = std::min(arrived + limits.deadline, m_latestDeadline);
+    const ArrivalTime arrival = m_context.pauseDetector.arrivalTime(now);
     if (limits.minTicket <= m_context.config.current()->number) {
-        routeCall(exchange, arrived, deadline, unread);
+        routeCall(exchange, arrival, limits.deadline);
         return;
     }
     m_waitingForTicket.insert(exchange);
-    m_context.config.whenReached(limits.minTicket, deadline, [this, exchange, arrived, deadline, unread](bool reached) {
+    const TimePoint startDeadline = std::min(arrival.earliest + limits.deadline, m_latestDeadline);
+    m_context.config.whenReached(limits.minTicket, startDeadline, [this, exchange, arrival, limits](bool reached) {
         if (!m_waitingForTicket.contains(exchange)) {
             return;
         }
@@ -186,7 +185,7 @@
             return;
         }
         m_waitingForTicket.erase(exchange);
-        routeCall(exchange, arrived, std::min(deadline, m_latestDeadline), unread);
+        routeCall(exchange, arrival, limits.deadline);
     });
 }
 
@@ -198,8 +197,8 @@
                        ResultCode::TicketNotReached, failureHeaders(TimePoint::max()));
 }
 
-void EntryProxy::routeCall(const std::shared_ptr<HttpExchange> &exchange, TimePoint arrived, TimePoint deadline,
-                           Duration unread)
+void EntryProxy::routeCall(const std::shared_ptr<HttpExchange> &exchange, const ArrivalTime &arrival,
+                           Duration callerTimeout)
 {
     updateConfiguration();
     const HttpRequest &request = exchange->request();
@@ -218,17 +217,18 @@
     spec.service = m_split.next(*route);
     spec.maxAttempts = route->attempts;
     spec.repeatable = route->isRepeatable(request.method);
-    spec.deadline = std::min(deadline, arrived + route->timeout);
+    const Duration timeout = std::min<Duration>(callerTimeout, route->timeout);
+    spec.deadline = arrival.latest + timeout;
+    spec.startDeadline = arrival.earliest + timeout;
     spec.priority = route->priority;
-    const Duration callerWait = m_callerWait.observe(route->id, deadline - arrived, arrived);
+    const Duration observedTimeout = std::min(arrival.earliest + callerTimeout, m_latestDeadline) - arrival.earliest;
+    const Duration callerWait = m_callerWait.observe(route->id, observedTimeout, arrival.earliest);
     if (route->targetLatency.count() > 0) {
-        spec.softDeadline = arrived + route->targetLatency - callerWait;
+        spec.softDeadline = arrival.earliest + route->targetLatency - callerWait;
     }
     const EntryCore::BeginResult result = m_core.begin(spec, m_context.clock.now());
-    EntryTimes times {arrived, spec.softDeadline};
-    times.unread = unread;
-    times.timeout = spec.deadline - arrived;
-    times.source = spec.deadline < deadline ? DeadlineSource::Route : DeadlineSource::Caller;
+    EntryTimes times {arrival, spec.softDeadline, timeout};
+    times.source = timeout < callerTimeout ? DeadlineSource::Route : DeadlineSource::Caller;
     m_calls.emplace(result.call, std::make_unique<EntryCall>(exchange, state, route, m_headers, times));
     if (m_calls.size() == 1) {
         scheduleTick();
@@ -285,8 +285,9 @@
     call->setTargetHost(send.host);
     const auto sink = std::make_shared<Sink>(*this, send.request.attempt);
     if (send.host == m_self.host) {
-        call->setHandle(
-            m_context.localTarget.open(call->makeOpenMessage(send.request), call->body(), sink, m_context.clock.now()));
+        const TimePoint now = m_context.clock.now();
+        call->setHandle(m_context.localTarget.open(call->makeOpenMessage(send.request), call->body(), sink,
+                                                   ArrivalTime {now, now}));
         return;
     }
     // A link that was lost in this iteration of the event loop is reported to the core later.
@@ -386,7 +387,7 @@
     const TimePoint now = m_context.clock.now();
     m_lastActivity = now;
     if (end.outcome == Outcome::Answered) {
-        m_context.metrics.observe(Summary::CallDuration, now - call->times().arrivedAt);
+        m_context.metrics.observe(Summary::CallDuration, now - call->times().arrival.latest);
     }
     if (end.outcome == Outcome::Unknown && end.code != ResultCode::CallerGone) {
         const Event event = now < m_latestDeadline ? Event::CallUnknown : Event::CallCutByExit;
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -45,12 +45,12 @@
     transfer.method = m_open.method;
     transfer.target = m_open.target;
     m_startedAt = request.startedAt;
-    m_timeout = request.remaining;
+    m_timeout = request.timeout;
     m_names = request.headers;
     m_window = request.window;
     transfer.headers = requestHeaders(m_open, m_names, request.remaining);
     transfer.body = std::move(m_requestBody);
-    transfer.timeout = request.remaining;
+    transfer.timeout = request.timeout;
     transfer.connectTimeout = std::min(transfer.connectTimeout, request.remaining);
     transfer.atMostOnce = !m_open.repeatable;
     transfer.requestIdHeader = m_names.requestId;
--- a/lib/node/targetproxy.cpp
+++ b/lib/node/targetproxy.cpp
@@ -87,23 +87,29 @@
 }
 
 std::unique_ptr<AttemptHandle> TargetProxy::open(const OpenMessage &open, std::string body,
-                                                 std::shared_ptr<ResponseSink> sink, TimePoint arrived)
+                                                 std::shared_ptr<ResponseSink> sink, const ArrivalTime &arrival)
 {
     updateConfiguration();
     const TimePoint now = m_clock.now();
     m_lastArrival = now;
     const Microseconds softTimeout
         = open.softTimeoutMs == INT32_MAX ? Microseconds::max() : Microseconds(Milliseconds(open.softTimeoutMs));
-    const OpenRequest request {
-        open.attempt,    open.endpoint, open.peer,  open.generation, Milliseconds(open.remainingMs),
-        open.repeatable, open.priority, softTimeout};
+    const OpenRequest request {open.attempt,
+                               open.endpoint,
+                               open.peer,
+                               open.generation,
+                               Milliseconds(open.remainingMs),
+                               Milliseconds(open.responseTimeoutMs),
+                               open.repeatable,
+                               open.priority,
+                               softTimeout};
     auto attempt = std::make_shared<TargetAttempt>(open, std::move(body), std::move(sink));
     // A duplicate finds the first copy here and does not replace it.
     m_attempts.emplace(open.attempt, attempt);
     if (m_attempts.size() == 1) {
         scheduleTick();
     }
-    perform(m_core.onOpen(request, now - arrived, now));
+    perform(m_core.onOpen(request, arrival, now));
     eraseIfEnded(open.attempt);
     return std::make_unique<TargetHandle>(*this, open.attempt);
 }
@@ -176,15 +182,16 @@
             m_loop.post([this, id] { perform(m_core.onResponseReady(id, m_clock.now())); });
         }
     });
+    const TimePoint now = m_clock.now();
+    const auto remaining = std::max(std::chrono::floor<Milliseconds>(start.startDeadline - now), Milliseconds(1));
     // Rounding to 0 ms would mean a transfer without timeout, which might never end.
-    const auto remaining
-        = std::max(std::chrono::duration_cast<Milliseconds>(start.deadline - m_clock.now()), Milliseconds(1));
+    const auto timeout = std::max(std::chrono::ceil<Milliseconds>(start.deadline - now), Milliseconds(1));
     const auto window = [this] {
         return responseWindow(m_readQueuedBytes());
     };
     attempt->start(
         m_http,
-        TargetRequest {targetAddress(start.endpoint), m_clock.now(), remaining, m_settings.headers, window,
+        TargetRequest {targetAddress(start.endpoint), now, remaining, timeout, m_settings.headers, window,
                        [this] {
                            m_metrics.count(Counter::InputRefused, ResultCode::AnswerForeign);
                        }},
@@ -229,7 +236,7 @@
               {"detail", detail},
               {"ms", std::to_string(since.count())},
               {"timeoutMs", std::to_string(attempt.timeout().count())},
-              {"allowedMs", std::to_string(open.remainingMs)},
+              {"allowedMs", std::to_string(open.responseTimeoutMs)},
               {"peer", open.attempt.call.node.value()}});
 }
 
--- a/unittests/call/entrycoretest.cpp
+++ b/unittests/call/entrycoretest.cpp
@@ -109,3 +109,27 @@
     EXPECT_EQ(actions.size(), 1U) << "no other attempt is made";
     EXPECT_EQ(std::get<entryaction::Finish>(actions.front()).outcome, Outcome::NotRun);
 }
+
+// The caller may have stopped waiting by the start deadline, but only its deadline shows that it has.
+TEST_F(EntryCoreTest, StartsNothingAfterTheStartDeadlineAndAwaitsResponsesUntilTheDeadline)
+{
+    m_core.onLinkUp(Host, Incarnation(7), Start + 1s);
+    CallSpec spec;
+    spec.service = ServiceId("s");
+    spec.repeatable = true;
+    spec.startDeadline = Start + 3s;
+    spec.deadline = Start + 6s;
+    const EntryCore::BeginResult awaited = m_core.begin(spec, Start + 2s);
+    ASSERT_EQ(countOf<entryaction::SendOpen>(awaited.actions), 1U);
+    const OpenRequest &request = std::get<entryaction::SendOpen>(awaited.actions.front()).request;
+    EXPECT_EQ(request.remaining, 1s);
+    EXPECT_EQ(request.responseTimeout, 4s);
+    const AttemptId refused {m_core.begin(spec, Start + 2s).call, 1};
+
+    const EntryActions afterRefusal = m_core.onRefused(refused, ResultCode::TargetShed, Start + 3s);
+    ASSERT_EQ(afterRefusal.size(), 1U) << "there is no time for another attempt";
+    EXPECT_EQ(std::get<entryaction::Finish>(afterRefusal.front()).outcome, Outcome::NotRun);
+    m_core.tick(Start + 5'999ms);
+    EXPECT_TRUE(m_core.awaits({awaited.call, 1}));
+    EXPECT_EQ(countOf<entryaction::Finish>(m_core.tick(Start + 6s)), 1U);
+}
--- a/unittests/call/fencetest.cpp
+++ b/unittests/call/fencetest.cpp
@@ -19,7 +19,7 @@
     }
     OpenResult open(const AttemptId &id, std::uint64_t generation = 1, Incarnation target = Self)
     {
-        const OpenRequest request {id, EndpointId("e"), target, LinkGeneration(generation), {}, false};
+        const OpenRequest request {id, EndpointId("e"), target, LinkGeneration(generation), {}, {}, false};
         return m_table.open(request, m_now + std::chrono::seconds(1), m_now);
     }
     FenceStatus fence(const AttemptId &id, std::uint64_t generation = 2, Incarnation target = Self)
--- a/unittests/call/policytest.cpp
+++ b/unittests/call/policytest.cpp
@@ -274,13 +274,17 @@
     EXPECT_TRUE(drain.leaving());
 }
 
-TEST(PauseDetectorTest, ReportsTheAgeOfInputAfterAPause)
+TEST(PauseDetectorTest, InputAfterAPauseMayHaveArrivedDuringThePause)
 {
     PauseDetector detector({}, Start);
     EXPECT_FALSE(detector.observe(Start + 100ms));
     EXPECT_EQ(detector.observe(Start + 3100ms), Duration(3s));
-    EXPECT_EQ(detector.inputAge(Start + 3200ms), Duration(3s));
-    EXPECT_EQ(detector.inputAge(Start + 3400ms), Duration::zero());
+    const ArrivalTime soonAfter = detector.arrivalTime(Start + 3200ms);
+    EXPECT_EQ(soonAfter.earliest, Start + 200ms);
+    EXPECT_EQ(soonAfter.latest, Start + 3200ms);
+    const ArrivalTime later = detector.arrivalTime(Start + 3400ms);
+    EXPECT_EQ(later.earliest, Start + 3400ms);
+    EXPECT_EQ(later.latest, Start + 3400ms);
 }
 
 namespace
@@ -288,7 +292,7 @@
 
 OpenRequest openRequest(std::uint64_t sequence, Microseconds remaining)
 {
-    return {attempt(sequence), EndpointId("e"), Incarnation(1), LinkGeneration(1), remaining, false};
+    return {attempt(sequence), EndpointId("e"), Incarnation(1), LinkGeneration(1), remaining, remaining, false};
 }
 
 bool refusesWith(const TargetActions &actions, ResultCode code)
@@ -311,8 +315,8 @@
     /// Opens attempts 1 and 2: the first runs, the second is queued.
     void fillSlotAndQueue()
     {
-        m_core.onOpen(openRequest(1, 1s), {}, Start);
-        m_core.onOpen(openRequest(2, 1s), {}, Start);
+        m_core.onOpen(openRequest(1, 1s), {Start, Start}, Start);
+        m_core.onOpen(openRequest(2, 1s), {Start, Start}, Start);
     }
 
     ManualClock m_clock;
@@ -334,7 +338,7 @@
     } else {
         m_core.setLeaving(GetParam(), true, Start);
     }
-    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::TargetLeaving));
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {Start, Start}, Start), ResultCode::TargetLeaving));
     EXPECT_EQ(m_core.accepted(), 2U);
     const TargetActions next = m_core.onResponseReceived(attempt(1), nullptr, Start + 10ms);
     ASSERT_EQ(next.size(), 1U);
@@ -356,7 +360,7 @@
     EXPECT_EQ(std::get<targetaction::Start>(next.front()).attempt, attempt(2));
     EXPECT_EQ(m_core.accepted(), 2U) << "the transfer is not complete";
     EXPECT_TRUE(m_core.onResponseReady(attempt(1), Start + 11ms).empty());
-    m_core.onOpen(openRequest(3, 1s), {}, Start + 11ms);
+    m_core.onOpen(openRequest(3, 1s), {Start + 11ms, Start + 11ms}, Start + 11ms);
     EXPECT_TRUE(m_core.onResponseReady(attempt(2), Start + 12ms).empty()) << "as many transfers as slots";
     EXPECT_TRUE(m_core.onResponseReceived(attempt(1), nullptr, Start + 20ms).empty()) << "its slot was freed before";
     EXPECT_EQ(m_core.onResponseReceived(attempt(2), nullptr, Start + 21ms).size(), 1U);
@@ -365,7 +369,7 @@
 
 TEST_F(TargetCoreTest, TransferContinuesAfterItsEndpointWasRemoved)
 {
-    m_core.onOpen(openRequest(1, 1s), {}, Start);
+    m_core.onOpen(openRequest(1, 1s), {Start, Start}, Start);
     m_core.onResponseReady(attempt(1), Start + 10ms);
     m_core.setEndpoints({}, Start + 11ms);
     EXPECT_TRUE(m_core.hasAttempt(attempt(1)));
@@ -377,20 +381,30 @@
 {
     fillSlotAndQueue();
     m_core.setEndpoints({}, Start);
-    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {}, Start), ResultCode::EndpointElsewhere));
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(3, 1s), {Start, Start}, Start), ResultCode::EndpointElsewhere));
     EXPECT_EQ(m_core.onResponseReceived(attempt(1), nullptr, Start + 10ms).size(), 1U);
     m_core.onResponseReceived(attempt(2), nullptr, Start + 20ms);
     EXPECT_EQ(m_core.accepted(), 0U);
 }
 
-TEST_F(TargetCoreTest, SubtractsInputAgeFromTheRemainingTime)
+TEST_F(TargetCoreTest, StartsNothingForACallerThatMayHaveStoppedWaiting)
 {
-    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(1, 1s), 3s, Start), ResultCode::StartTooLate));
+    EXPECT_TRUE(refusesWith(m_core.onOpen(openRequest(1, 1s), {Start - 3s, Start}, Start), ResultCode::StartTooLate));
+}
+
+TEST_F(TargetCoreTest, RunsUntilTheCallerHasStoppedWaiting)
+{
+    const TargetActions started = m_core.onOpen(openRequest(1, 4s), {Start - 3s, Start}, Start);
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(std::get<targetaction::Start>(started.front()).startDeadline, Start + 1s);
+    EXPECT_EQ(std::get<targetaction::Start>(started.front()).deadline, Start + 4s);
+    EXPECT_TRUE(m_core.tick(Start + 3999ms).empty());
+    EXPECT_FALSE(m_core.tick(Start + 4s).empty());
 }
 
 TEST_F(TargetCoreTest, AbortsRunningRequestAtTheDeadline)
 {
-    m_core.onOpen(openRequest(1, 1s), {}, Start);
+    m_core.onOpen(openRequest(1, 1s), {Start, Start}, Start);
     const TargetActions actions = m_core.tick(Start + 1s);
     ASSERT_EQ(actions.size(), 2U);
     EXPECT_TRUE(std::holds_alternative<targetaction::Fail>(actions[0]));
--- a/unittests/call/simulation.cpp
+++ b/unittests/call/simulation.cpp
@@ -213,7 +213,7 @@
         if (target.arrived.insert(open->attempt).second && target.leaving) {
             target.arrivedWhileLeaving.insert(open->attempt);
         }
-        apply(message.target, core.onOpen(*open, Duration::zero(), now));
+        apply(message.target, core.onOpen(*open, {now, now}, now));
     } else if (const auto *fence = std::get_if<FenceRequest>(&content)) {
         FenceRequest request = *fence;
         if (m_faults.keepMinGeneration) {
@@ -295,7 +295,7 @@
     if (target.arrivedWhileLeaving.count(start.attempt) != 0) {
         m_violations.emplace_back("started on a leaving target");
     }
-    if (start.deadline <= m_clock.now()) {
+    if (start.startDeadline <= m_clock.now()) {
         m_violations.emplace_back("started after the deadline");
     }
 }
--- a/unittests/node/targetattempttest.cpp
+++ b/unittests/node/targetattempttest.cpp
@@ -65,7 +65,7 @@
             return responseWindow(m_queuedBytes);
         };
         m_attempt->start(
-            m_http, TargetRequest {m_address, TimePoint(), 60'000ms, {}, window, {}},
+            m_http, TargetRequest {m_address, TimePoint(), 60'000ms, 60'000ms, {}, window, {}},
             [this](const HttpClientResult &, const std::shared_ptr<const CachedResponse> &) { m_done = true; });
     }
 
