--- /dev/null
+++ b/unittests/platform/oddentrytest.cpp
@@ -0,0 +1,119 @@
+// Entries of other writers among those of the servers: each names no server, costs little, and stops nothing.
+#include "platform/records.h"
+#include "platform/storeclient.h"
+
+#include "jasminemast/registry/registryfollower.h"
+#include "jasminemast/support/base64.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <malloc.h>
+#include <new>
+
+using namespace jasminemast;
+using namespace jasminemast::platform;
+using Json = nlohmann::json;
+
+namespace
+{
+
+std::size_t allocatedBytes = 0;
+std::size_t peakBytes = 0;
+
+} // namespace
+
+// NOLINTBEGIN(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory): the allocator that counts
+[[gnu::noinline]] void *operator new(std::size_t size)
+{
+    void *memory = std::malloc(size);
+    if (memory == nullptr) {
+        throw std::bad_alloc();
+    }
+    allocatedBytes += malloc_usable_size(memory);
+    peakBytes = std::max(peakBytes, allocatedBytes);
+    return memory;
+}
+
+[[gnu::noinline]] void operator delete(void *memory) noexcept
+{
+    allocatedBytes -= malloc_usable_size(memory);
+    std::free(memory);
+}
+
+[[gnu::noinline]] void operator delete(void *memory, std::size_t /*size*/) noexcept
+{
+    operator delete(memory);
+}
+// NOLINTEND(cppcoreguidelines-no-malloc,cppcoreguidelines-owning-memory)
+
+namespace
+{
+
+constexpr std::size_t MaxValueBytes = 1U << 20U;
+
+/// The text of a server's entry with \p extra in a field that is not used.
+std::string serverText(const std::string &extra = "0")
+{
+    return R"({"address":"10.128.0.9:8080","born":1700000000000,"extra":)" + extra
+        + R"(,"info":{"service":"huvo11a","version":"v1","zone":"brescia","slots":12},)"
+          R"("status":{"state":"ready","seq":4,"cold-left-ms":250}})";
+}
+
+std::string repeat(const std::string &text, std::size_t bytes)
+{
+    std::string result;
+    result.reserve(bytes);
+    while (result.size() + text.size() <= bytes) {
+        result += text;
+    }
+    return result;
+}
+
+Json item(const std::string &key, const std::string &bytes, std::uint64_t revision = 7)
+{
+    return {
+        {"key", key}, {"value", encodeBase64(bytes)}, {"rev", revision}, {"create-revision", revision}, {"lease", 0U}};
+}
+
+bool isTarget(const std::string &bytes)
+{
+    return std::holds_alternative<RegisteredTarget>(*decodeItem(item("servers/odd", bytes)));
+}
+
+/// Memory beyond what was allocated before that decoding an entry takes at most.
+std::size_t peakOfDecoding(const std::string &key, const std::string &bytes)
+{
+    const Json odd = item(key, bytes);
+    const std::size_t before = allocatedBytes;
+    peakBytes = before;
+    EXPECT_TRUE(std::holds_alternative<InvalidRecord>(*decodeItem(odd)));
+    return peakBytes - before;
+}
+
+/// Texts of the largest size that nest as deeply as they can.
+std::vector<std::string> nestedTexts()
+{
+    const std::size_t half = MaxValueBytes / 2 - 200;
+    const std::string closed = repeat("[", half) + repeat("]", half);
+    return {repeat("[", MaxValueBytes), repeat("{\"a\":", MaxValueBytes), closed, serverText(closed),
+            serverText(repeat("{\"a\":", half) + "0" + repeat("}", half / 5))};
+}
+
+} // namespace
+
+TEST(OddEntryTest, NestedValueDoesNotTakeTheMemoryOfTheProcess)
+{
+    for (const std::string &text : nestedTexts()) {
+        EXPECT_LT(peakOfDecoding("servers/odd", text), 8 * MaxValueBytes) << text.substr(0, 60);
+        EXPECT_LT(peakOfDecoding("op/config", text), 8 * MaxValueBytes) << text.substr(0, 60);
+    }
+}
+
+TEST(OddEntryTest, NestedFieldThatIsNotUsedNamesNoServer)
+{
+    EXPECT_TRUE(isTarget(serverText("[[[[[[[[{\"a\":{\"b\":{}}}]]]]]]]]")));
+    EXPECT_TRUE(isTarget(serverText("\"\\\"" + repeat("[", 1'000) + "\\\\\"")));
+    EXPECT_FALSE(isTarget(serverText(repeat("[", 1'000) + repeat("]", 1'000))));
+}
