--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -117,3 +117,22 @@
     EXPECT_TRUE(isTarget(serverText("\"\\\"" + repeat("[", 1'000) + "\\\\\"")));
     EXPECT_FALSE(isTarget(serverText(repeat("[", 1'000) + repeat("]", 1'000))));
 }
+
+TEST(OddEntryTest, LargeValueOfManySmallValuesDoesNotTakeTheMemoryOfTheProcess)
+{
+    constexpr std::size_t Bytes = MaxValueBytes - 300;
+    for (const std::string text : {"{},", "[],", "[0],", "0,", "{\"a\":0},"}) {
+        const std::string array = "[" + repeat(text, Bytes) + "0]";
+        EXPECT_LT(peakOfDecoding("servers/odd", array), 8 * MaxValueBytes) << text;
+        EXPECT_LT(peakOfDecoding("servers/odd", serverText(array)), 8 * MaxValueBytes) << text;
+    }
+}
+
+TEST(OddEntryTest, EntryWithManyUnknownFieldsNamesItsServer)
+{
+    std::string fields = "{\"f\":0";
+    for (int i = 0; i < 1'000; ++i) {
+        fields += ",\"field" + std::to_string(i) + "\":{\"a\":[1,2.5,null]}";
+    }
+    EXPECT_TRUE(isTarget(serverText(fields + "}")));
+}
