--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -61,6 +61,14 @@
           R"("status":{"state":"ready","seq":4,"cold-left-ms":250}})";
 }
 
+/// The text of a server's entry in which the value of \p field is \p value, which need not be valid JSON.
+std::string serverTextWith(const std::string &field, const std::string &value)
+{
+    std::string text = serverText();
+    const std::size_t start = text.find("\"" + field + "\":") + field.size() + 3;
+    return text.replace(start, text.find_first_of(",}", start) - start, value);
+}
+
 std::string repeat(const std::string &text, std::size_t bytes)
 {
     std::string result;
@@ -77,6 +85,22 @@
         {"key", key}, {"value", encodeBase64(bytes)}, {"rev", revision}, {"create-revision", revision}, {"lease", 0U}};
 }
 
+/// What a node that has just listed \p items knows.
+RegistryFollower listed(const std::vector<Json> &items, std::uint64_t revision)
+{
+    RegistryFollower follower;
+    const Json page = {{"items", items}, {"store-revision", revision}};
+    follower.onResponse(decodeResponse(200, page.dump()), TimePoint());
+    EXPECT_TRUE(follower.isListed());
+    return follower;
+}
+
+void addChanges(RegistryFollower &follower, const std::vector<Json> &events, std::uint64_t revision)
+{
+    const Json changes = {{"events", events}, {"store-revision", revision}};
+    follower.onResponse(decodeResponse(200, changes.dump()), TimePoint());
+}
+
 bool isTarget(const std::string &bytes)
 {
     return std::holds_alternative<RegisteredTarget>(*decodeItem(item("servers/odd", bytes)));
@@ -136,3 +160,36 @@
     }
     EXPECT_TRUE(isTarget(serverText(fields + "}")));
 }
+
+TEST(OddEntryTest, NumberThatIsTooLargeDoesNotHideLaterReportsOfTheServer)
+{
+    const std::string draining = serverTextWith("state", "\"draining\"");
+    const std::string next = serverTextWith("seq", "5");
+    for (const char *field : {"born", "seq"}) {
+        for (const char *value : {"18446744073709551615", "9223372036854775807", "9007199254740993", "9007199254740991",
+                                  "18446744073709551616", "1e400", "1e3", "1.5", "-1"}) {
+            const Json odd = item("servers/i-1", serverTextWith(field, value), 8);
+            RegistryFollower follower = listed({item("servers/i-1", serverText())}, 7);
+            addChanges(follower, {odd}, 8);
+            EXPECT_TRUE(follower.targets().empty()) << field << " " << value;
+            addChanges(follower, {item("servers/i-1", next, 9)}, 9);
+            EXPECT_TRUE(follower.targets().contains(EndpointId("i-1"))) << field << " " << value;
+            RegistryFollower another = listed({odd}, 8);
+            addChanges(another, {item("servers/i-1", draining, 9)}, 9);
+            ASSERT_EQ(another.targets().size(), 1U) << field << " " << value;
+            EXPECT_TRUE(another.targets().begin()->second.target.draining) << field << " " << value;
+        }
+    }
+}
+
+TEST(OddEntryTest, NumberOutOfRangeNamesNoServer)
+{
+    for (const char *field : {"slots", "cold-left-ms", "seq", "born"}) {
+        for (const char *value :
+             {"18446744073709551615", "18446744073709551616", "9223372036854775808", "1e400", "-1e400", "1e3", "1.5",
+              "-1", "-9223372036854775809", "\"1\"", "true", "null", "NaN", "Infinity", "00", "0x10"}) {
+            EXPECT_FALSE(isTarget(serverTextWith(field, value))) << field << " " << value;
+        }
+    }
+    EXPECT_FALSE(isTarget(serverText("1e400"))) << "in a field that is not used";
+}
