[net] An address with a zero byte inside is refused

What users would see: an entry of another writer with the address "10.0.0.1\u0000x:80" names a server: a second host beside the true one at 10.0.0.1, to which calls go that its target answers with 421.

Cause: inet_pton reads up to the zero byte of the text, so the address passed the check with all its bytes.

Evidence: before the change AddressThatCannotBeReachedNamesNoServer (oddentrytest) fails for "10.0.0.1\u0000:80" and "10.0.0.1\u0000x:80". The other addresses of that test were refused before: ports 0, 65536, -1, of many digits or of text, no port or colon, IPv6, names, texts of 100 KB.

Why the fix works: toSystemAddress refuses a zero byte itself, for every address that is made into one of the system.

--- a/lib/net/socketaddress.cpp
+++ b/lib/net/socketaddress.cpp
@@ -13,7 +13,9 @@
     sockaddr_in system {};
     system.sin_family = AF_INET;
     system.sin_port = htons(address.port);
-    if (inet_pton(AF_INET, address.ip.c_str(), &system.sin_addr) != 1) {
+    // inet_pton() ignores what follows a zero byte.
+    const bool hasZeroByte = address.ip.find('\0') != std::string::npos;
+    if (hasZeroByte || inet_pton(AF_INET, address.ip.c_str(), &system.sin_addr) != 1) {
         throw ResultError(ResultCode::AddressInvalid, address.ip);
     }
     return system;
--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -193,3 +193,40 @@
     }
     EXPECT_FALSE(isTarget(serverText("1e400"))) << "in a field that is not used";
 }
+
+TEST(OddEntryTest, AddressThatCannotBeReachedNamesNoServer)
+{
+    for (const std::string address : {"10.0.0.1",
+                                      "10.0.0.1:",
+                                      ":80",
+                                      "10.0.0.1:0",
+                                      "10.0.0.1:65536",
+                                      "10.0.0.1:99999999999",
+                                      "10.0.0.1:18446744073709551696",
+                                      "10.0.0.1:-1",
+                                      "10.0.0.1:+80",
+                                      "10.0.0.1: 80",
+                                      "10.0.0.1:80 ",
+                                      "10.0.0.1:80:80",
+                                      "10.0.0.1:8e1",
+                                      "10.0.0.1:0x50",
+                                      "10.0.0.1:http",
+                                      "",
+                                      ":",
+                                      "[::1]:80",
+                                      "::1",
+                                      "::1:80",
+                                      "localhost:80",
+                                      "10.0.0:80",
+                                      "10.0.0.256:80",
+                                      "10.0.0.1\\u0000:80",
+                                      "10.0.0.1\\u0000x:80",
+                                      "10.0.0.1:80\\u0000",
+                                      " 10.0.0.1:80",
+                                      "10.0.0.1\\r\\n:80"}) {
+        EXPECT_FALSE(isTarget(serverTextWith("address", "\"" + address + "\""))) << address;
+    }
+    EXPECT_FALSE(isTarget(serverTextWith("address", "\"10.0.0.1:" + std::string(100'000, '8') + "\"")));
+    EXPECT_FALSE(isTarget(serverTextWith("address", "\"" + std::string(100'000, '1') + ":80\"")));
+    EXPECT_TRUE(isTarget(serverTextWith("address", "\"10.0.0.1:65535\"")));
+}
