[platform] An id that can't stand in a header names no server

What users would see: an entry of another writer under "servers/a\nb" names a server, and the target's node refuses to write the header of each call for which it is chosen (TargetClient; read from the code, not run).

Cause: the id comes from the key and was taken as it is.

Evidence: before the change IdThatCannotStandInAHeaderNamesNoServer (oddentrytest) fails for line breaks, other control characters, zero bytes and spaces. Such an id could not smuggle a header before either: isWellFormedRequest refuses it.

--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -230,3 +230,19 @@
     EXPECT_FALSE(isTarget(serverTextWith("address", "\"" + std::string(100'000, '1') + ":80\"")));
     EXPECT_TRUE(isTarget(serverTextWith("address", "\"10.0.0.1:65535\"")));
 }
+
+TEST(OddEntryTest, IdThatCannotStandInAHeaderNamesNoServer)
+{
+    const auto isServer = [](const std::string &id) {
+        const auto record = decodeItem(item("servers/" + id, serverText()));
+        return record && std::holds_alternative<RegisteredTarget>(*record);
+    };
+    for (const std::string id : {"a\r\nX-Caller-Service: b", "a\nb", "a b", " a", "a ", "a\tb", "a\x7f", "a\x01"}) {
+        EXPECT_FALSE(isServer(id)) << id;
+    }
+    EXPECT_FALSE(isServer(std::string("a\0b", 3)));
+    EXPECT_FALSE(isServer(""));
+    EXPECT_TRUE(isServer("i-7f3a91c2"));
+    EXPECT_TRUE(isServer("a/b"));
+    EXPECT_TRUE(isServer(std::string(192, 'a')));
+}
