[platform] An entry with bytes after a zero byte names no server

What users would see: an entry whose text goes on with other bytes after a zero byte is used as if it were whole.

Cause: the lexer of nlohmann's json takes a zero byte as the end of its input.

The other texts of that test were refused before: other types, invalid UTF-8, lone surrogates, over 200 bytes.

--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -246,3 +246,17 @@
     EXPECT_TRUE(isServer("a/b"));
     EXPECT_TRUE(isServer(std::string(192, 'a')));
 }
+
+TEST(OddEntryTest, TextOfAnotherTypeOrTooLongNamesNoServer)
+{
+    for (const char *field : {"address", "service", "version", "zone", "state"}) {
+        for (const std::string value : {"0", "null", "true", "[]", "{}", "[\"a\"]", "\"\"", "\"\xff\"", "\"a\xc3\"",
+                                        "\"\\ud800\"", "\"\\udc00\"", "\"a"}) {
+            EXPECT_FALSE(isTarget(serverTextWith(field, value))) << field << " " << value;
+        }
+        EXPECT_FALSE(isTarget(serverTextWith(field, "\"" + std::string(201, 'a') + "\""))) << field;
+    }
+    EXPECT_FALSE(isTarget(std::string("\0", 1)));
+    EXPECT_FALSE(isTarget(serverText() + std::string("\0", 1)));
+    EXPECT_FALSE(isTarget("\xef\xbb\xbf[]"));
+}
