[registry] An entry of an unknown service doesn't hide the server at its address

What users would see: another writer leaves an entry with a service that isn't named anywhere and with the address of a server, for instance a copy of the server's own entry. The server gets no requests for as long as the odd entry is there.

Cause: of the entries at one address only the youngest is used, and this was decided before entries of unknown services are left out; the youngest was the odd one, and nothing remained of the address.

Evidence: before the change RegistryFollowerTest.EntryOfUnknownServiceDoesNotHideTheTargetAtItsAddress fails; the 15 others of registryfollowertest and synctest pass before and after.

Why the fix works: a service that the configuration doesn't name comes before any start time and revision in the order. A successor at the address still counts as soon as a configuration names its service.

--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -94,8 +94,13 @@
         return m_targets;
     }
     /// The targets except those whose address belongs to a newer one: a crashed target stays registered for a while
-    /// after its successor has started at the same address.
+    /// after its successor has started at the same address. Targets of unknown services come after all others.
     [[nodiscard]] std::vector<RegisteredTarget> activeTargets() const;
+    /// False if there is a configuration without \p service.
+    [[nodiscard]] bool isServiceKnown(const ServiceId &service) const
+    {
+        return !m_configuration || m_services.contains(service);
+    }
     /// True once a complete listing has been read.
     [[nodiscard]] bool isListed() const
     {
@@ -153,6 +158,7 @@
 
     RegistryFollowerLimits m_limits;
     std::shared_ptr<const PublishedConfiguration> m_configuration;
+    std::set<ServiceId> m_services; ///< of m_configuration
     std::map<EndpointId, KnownTarget> m_targets;
     std::map<EndpointId, TimePoint> m_unconfirmed; ///< when to remove targets that have not registered again
     /// Last reports of removed targets, so that a late report does not add them again.
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -171,6 +171,7 @@
 {
     if (!m_configuration || m_configuration->number < configuration.number) {
         m_configuration = std::make_shared<const PublishedConfiguration>(std::move(configuration));
+        m_services = {m_configuration->services.begin(), m_configuration->services.end()};
         ++m_changes;
     }
 }
@@ -316,8 +317,8 @@
 
 std::vector<RegisteredTarget> RegistryFollower::activeTargets() const
 {
-    const auto startOrder = [](const RegisteredTarget &target) {
-        return std::pair(target.startedAt, target.revision);
+    const auto startOrder = [this](const RegisteredTarget &target) {
+        return std::tuple(isServiceKnown(target.service), target.startedAt, target.revision);
     };
     std::map<SocketAddress, RegisteredTarget> newest;
     for (const auto &[id, known] : m_targets) {
--- a/unittests/registry/registryfollowertest.cpp
+++ b/unittests/registry/registryfollowertest.cpp
@@ -267,3 +267,20 @@
     follower.onResponse(response(13, {TargetRemoved {EndpointId("c"), Revision(13)}}), Start);
     EXPECT_EQ(follower.activeTargets()[0].id, EndpointId("a"));
 }
+
+TEST(RegistryFollowerTest, EntryOfUnknownServiceDoesNotHideTheTargetAtItsAddress)
+{
+    RegistryFollower follower;
+    PublishedConfiguration published = configuration(3);
+    published.services = {ServiceId("s")};
+    RegisteredTarget odd = target("odd", 9, 12);
+    odd.service = ServiceId("unknown");
+    odd.startedAt = 2'000;
+    follower.onResponse(response(12, {published, target("a", 1, 8), odd}), Start);
+    ASSERT_EQ(follower.activeTargets().size(), 1U);
+    EXPECT_EQ(follower.activeTargets()[0].id, EndpointId("a"));
+    published.number = TicketNumber(4);
+    published.services.emplace_back("unknown");
+    follower.onResponse(response(13, {published}), Start);
+    EXPECT_EQ(follower.activeTargets()[0].id, EndpointId("odd")) << "its service is known now";
+}
