[node] Entries of unknown services name no host to read the registry's records at

What users would see: another writer leaves an entry with a service that isn't named anywhere and an address at which nobody listens. Nodes of the zone that it names read their configurations at that host: each try takes up to a second until it is given up, and is made again a second later, for as long as the entry is there. Configurations and drains come late (CONFIG, DRAIN).

Cause: the tree of nodes that pass records on was built from all entries; only the endpoints were chosen by service.

Evidence: before the change RegistryTaskTest.EntriesOfUnknownServicesNameNoHostToReadAt fails: nodes have hosts of odd entries as candidates, first of all. The seven other tests of registrytasktest pass before and after. The delay is read from the code (PeerTimeout, FailedPeerExclusion) and was not measured.

Why the fix works: peers are the hosts of servers whose service the configuration names. Not covered: discovery, before a node has a configuration; it ends with the first listing, after 1.9 s at the latest.

--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -377,7 +377,7 @@
     if (m_follower.isListed()) {
         std::vector<RegistryPeer> peers;
         for (const RegisteredTarget &target : m_follower.activeTargets()) {
-            if (!target.draining) {
+            if (!target.draining && m_follower.isServiceKnown(target.service)) {
                 peers.push_back(peerOf(target));
             }
         }
--- a/unittests/node/registrytasktest.cpp
+++ b/unittests/node/registrytasktest.cpp
@@ -333,6 +333,34 @@
     EXPECT_TRUE(haveAll(4));
 }
 
+TEST_F(RegistryTaskTest, EntriesOfUnknownServicesNameNoHostToReadAt)
+{
+    ASSERT_TRUE(haveAll(3));
+    const std::size_t known = m_registry.targets.size();
+    for (int i = 0; i < Nodes; ++i) {
+        RegisteredTarget odd = m_registry.targets.begin()->second;
+        odd.id = EndpointId("odd" + std::to_string(i));
+        odd.service = ServiceId("unknown");
+        odd.zone = ZoneId(i % 2 == 0 ? "a" : "b");
+        odd.address.ip = addressOf(Nodes + i).ip;
+        m_registry.targets.emplace(odd.id, odd);
+    }
+    m_registry.publish(4);
+    ASSERT_TRUE(haveAll(4));
+    std::set<std::string> hosts;
+    for (const auto &[i, node] : m_nodes) {
+        hosts.insert(node->host().value());
+    }
+    for (const auto &[i, node] : m_nodes) {
+        EXPECT_EQ(node->task().current()->endpoints.size(), known);
+        const nlohmann::json upstream = node->task().upstream(TimePoint());
+        for (const nlohmann::json &candidate : upstream.at("candidates")) {
+            EXPECT_TRUE(hosts.contains(candidate.get<std::string>()))
+                << node->host().value() << " reads at " << candidate;
+        }
+    }
+}
+
 TEST_F(RegistryTaskTest, MalformedFramesAreRefused)
 {
     ASSERT_TRUE(haveAll(3));
