[tests] An odd entry stops neither the listing nor the watch, and is reported once each time it is read

An odd entry of over 1 MB costs one listing for each change of it, no loop. In one response an entry is reported once, in under 300 bytes of log, and peers are told nothing.

--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -101,6 +101,87 @@
     follower.onResponse(decodeResponse(200, changes.dump()), TimePoint());
 }
 
+/// Texts that name no server.
+std::vector<std::string> oddTexts()
+{
+    const std::size_t half = MaxValueBytes / 2 - 200;
+    return {"",
+            "\xff\xfe",
+            repeat("[", MaxValueBytes),
+            serverText(repeat("[", half) + repeat("]", half)),
+            serverText("1e400"),
+            serverTextWith("seq", "18446744073709551616"),
+            serverTextWith("slots", "-1"),
+            serverTextWith("address", "\"10.0.0.1:65536\""),
+            serverTextWith("state", "\"resting\""),
+            "[]",
+            "null"};
+}
+
+/// A store with pages of two items.
+class SmallStore
+{
+public:
+    void write(const std::string &id, const std::string &text)
+    {
+        m_items["servers/" + id] = item("servers/" + id, text, ++m_revision);
+        m_events.push_back(m_items["servers/" + id]);
+    }
+
+    /// Answers calls until the follower knows everything, and returns how many it made.
+    int serve(RegistryFollower &follower)
+    {
+        constexpr int MaxCalls = 20;
+        int calls = 0;
+        while (calls < MaxCalls) {
+            const RegistryAction action = follower.next(m_now);
+            if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
+                m_now = wait->until;
+                continue;
+            }
+            const auto *watch = std::get_if<registryaction::Watch>(&action);
+            if (watch != nullptr && watch->revision == Revision(m_revision)) {
+                break;
+            }
+            ++calls;
+            const Json body = watch != nullptr ? changes(watch->revision.value())
+                                               : page(std::get<registryaction::List>(action).after);
+            RegistryResponse response = decodeResponse(200, body.dump());
+            EXPECT_EQ(response.code, ResultCode::Ok);
+            follower.onResponse(std::move(response), m_now);
+        }
+        return calls;
+    }
+
+private:
+    [[nodiscard]] Json page(const std::string &after) const
+    {
+        constexpr std::size_t PageItems = 2;
+        auto items = Json::array();
+        auto position = m_items.upper_bound(after);
+        for (; position != m_items.end() && items.size() < PageItems; ++position) {
+            items.push_back(position->second);
+        }
+        return {{"items", items}, {"has-more", position != m_items.end()}, {"store-revision", m_revision}};
+    }
+
+    [[nodiscard]] Json changes(std::uint64_t after) const
+    {
+        auto events = Json::array();
+        for (const Json &event : m_events) {
+            if (event["rev"] > after) {
+                events.push_back(event);
+            }
+        }
+        return {{"events", events}, {"store-revision", m_revision}};
+    }
+
+    std::map<std::string, Json> m_items;
+    std::vector<Json> m_events;
+    std::uint64_t m_revision = 0;
+    TimePoint m_now;
+};
+
 bool isTarget(const std::string &bytes)
 {
     return std::holds_alternative<RegisteredTarget>(*decodeItem(item("servers/odd", bytes)));
@@ -260,3 +341,45 @@
     EXPECT_FALSE(isTarget(serverText() + std::string("\0", 1)));
     EXPECT_FALSE(isTarget("\xef\xbb\xbf[]"));
 }
+
+TEST(OddEntryTest, OddEntryStopsNeitherTheListingNorTheWatch)
+{
+    for (const std::string &text : oddTexts()) {
+        const std::string name = text.substr(0, 80);
+        SmallStore store;
+        RegistryFollower follower;
+        // The second page ends with the odd entry, and the third begins after it.
+        for (const char *id : {"1", "2", "3", "5", "6"}) {
+            store.write(id, serverText());
+        }
+        store.write("4", text);
+        EXPECT_EQ(store.serve(follower), 3) << name;
+        EXPECT_EQ(follower.targets().size(), 5U) << name;
+        store.write("7", serverText());
+        EXPECT_EQ(store.serve(follower), 1) << name;
+        EXPECT_EQ(follower.targets().size(), 6U) << name;
+        // Changes of over 1 MB are followed by a listing.
+        store.write("4", text);
+        store.write("8", serverText());
+        EXPECT_LE(store.serve(follower), 1 + 4) << name;
+        EXPECT_EQ(follower.targets().size(), 7U) << name;
+        store.write("9", serverText());
+        EXPECT_EQ(store.serve(follower), 1) << name;
+        EXPECT_EQ(follower.targets().size(), 8U) << name;
+        EXPECT_FALSE(follower.targets().contains(EndpointId("4"))) << name;
+        EXPECT_FALSE(follower.isDown()) << name;
+    }
+}
+
+TEST(OddEntryTest, OddEntryIsReportedOnceForEachTimeItIsRead)
+{
+    RegistryFollower follower = listed({item("servers/i-1", serverText())}, 7);
+    const Json odd = item("servers/i-2", "[]", 8);
+    addChanges(follower, {odd, odd, odd}, 8);
+    const std::vector<InvalidRecord> reported = follower.takeInvalidRecords();
+    ASSERT_EQ(reported.size(), 1U);
+    EXPECT_LT(reported[0].detail.size(), 300U);
+    addChanges(follower, {}, 8);
+    EXPECT_TRUE(follower.takeInvalidRecords().empty());
+    EXPECT_EQ(follower.changes(), 1U) << "peers are told nothing";
+}
