[member] A deeply nested host list is refused before it is parsed

The same cause as with entries of the registry: each level of JSON is an allocation, 64 MB for 1 MiB of '[' (figure of oddentrytest), and the host list was parsed without a limit of depth. Nobody saw this; the list isn't used on the platform of the users. HostList.RejectsNestedFieldThatIsNotUsed fails before the change: the list is accepted.

The other parsers that are fed from outside were read and need no change: tickets and checkpoints have a limit of depth in their SAX builder, settings in their parser's callback, and a target's health page is at most 4 KB.

--- a/lib/member/hostlist.cpp
+++ b/lib/member/hostlist.cpp
@@ -1,6 +1,7 @@
 // Parses and indexes the platform's host list.
 #include "jasminemast/member/hostlist.h"
 
+#include "jasminemast/support/jsondepth.h"
 #include "jasminemast/support/result.h"
 
 #include <nlohmann/json.hpp>
@@ -14,6 +15,7 @@
 
 constexpr std::size_t MaxHosts = 20'000;
 constexpr std::size_t MaxFieldLength = 64;
+constexpr std::size_t MaxLevels = 32; // of nested objects and arrays; the list needs two
 
 [[noreturn]] void throwMalformed(const std::string &detail)
 {
@@ -99,6 +101,9 @@
 
 HostList parseHostList(std::string_view bytes)
 {
+    if (isNestedDeeper(bytes, MaxLevels)) {
+        throwMalformed("host list is nested too deeply");
+    }
     const auto document = nlohmann::json::parse(bytes, nullptr, false);
     if (!document.is_array()) {
         throwMalformed("host list is not a JSON array");
--- a/unittests/member/hostlisttest.cpp
+++ b/unittests/member/hostlisttest.cpp
@@ -40,3 +40,11 @@
         }
     }
 }
+
+TEST(HostList, RejectsNestedFieldThatIsNotUsed)
+{
+    const std::string nested = std::string(1'000, '[') + std::string(1'000, ']');
+    EXPECT_THROW(
+        parseHostList(R"([{"host":"h","region":"r","zone":"z","address":"a","state":"live","x":)" + nested + "}]"),
+        ResultError);
+}
