--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -106,7 +106,9 @@
         }
         applyRecord(record, now);
     }
-    m_after = response.next;
+    // A key that could not be read in full may lead to the same page again.
+    const bool hasProgress = response.next != m_after;
+    m_after = hasProgress ? response.next : std::string();
     if (m_after.empty()) {
         endListing(now);
     }
--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -383,3 +383,34 @@
     EXPECT_TRUE(follower.takeInvalidRecords().empty());
     EXPECT_EQ(follower.changes(), 1U) << "peers are told nothing";
 }
+
+TEST(OddEntryTest, KeyThatCannotBeReadDoesNotHideTheOtherItems)
+{
+    const std::string value = encodeBase64(serverText());
+    for (const std::string key : {"\xff", "a\xc3", "\xed\xa0\x80", "\xf4\x90\x80\x80", "\\udcff", "\\ud800",
+                                  "\\ud800\\u0041", "\\ud800\\ud83d\\ude00", "\\\\\\udcff", "\xf0\x9f\x98"}) {
+        const std::string page = R"({"items":[{"key":"servers/i-1","rev":7,"value":")" + value
+            + R"("},{"key":"servers/)" + key + R"(","rev":8,"value":")" + value
+            + R"("},{"key":"servers/\u00e9\ud83d\ude00","rev":8,"value":""}],"has-more":true,"store-revision":9})";
+        const RegistryResponse response = decodeResponse(200, page);
+        ASSERT_EQ(response.code, ResultCode::Ok) << key;
+        ASSERT_EQ(response.records.size(), 3U) << key;
+        EXPECT_TRUE(std::holds_alternative<RegisteredTarget>(response.records[0])) << key;
+        EXPECT_TRUE(std::holds_alternative<InvalidRecord>(response.records[1])) << key;
+        EXPECT_EQ(response.next, "servers/\u00e9\U0001F600") << "what can be read stays";
+    }
+    EXPECT_EQ(decodeResponse(200, R"({"items":[{"key":"\udcff)").code, ResultCode::RegistryAnswerMalformed);
+    EXPECT_EQ(decodeResponse(200, "\\u").code, ResultCode::RegistryAnswerMalformed);
+    EXPECT_EQ(decodeResponse(200, "\\").code, ResultCode::RegistryAnswerMalformed);
+}
+
+TEST(OddEntryTest, KeyThatCannotBeReadDoesNotMakeTheListingEndless)
+{
+    const std::string page = "{\"items\":[{\"key\":\"servers/\xff\",\"rev\":8,\"value\":\"\"}],\"has-more\":true,"
+                             "\"store-revision\":9}";
+    RegistryFollower follower;
+    follower.onResponse(decodeResponse(200, page), TimePoint());
+    EXPECT_FALSE(follower.isListed());
+    follower.onResponse(decodeResponse(200, page), TimePoint());
+    EXPECT_TRUE(follower.isListed());
+}
