[registry] Changes of keys that aren't used are read together too

What users would see: a writer that changes a key that nodes don't use makes the reading nodes call the store for each of its changes; calls are priced, and all nodes together have a limited number in a second.

Cause: the delay after changes, which bounds the calls at two a second, was left out if a response held no record.

Why the fix works: a response says whether it held other items, and the delay follows these as well. The end of a watch without any change is still followed by the next one at once.

--- a/include/jasminemast/registry/registrysource.h
+++ b/include/jasminemast/registry/registrysource.h
@@ -67,6 +67,7 @@
     ResultCode code = ResultCode::Ok; ///< Ok, RegistryHistoryGone, or why there is no response
     std::string detail; ///< cause of a failure
     std::vector<RegistryRecord> records;
+    bool hasOtherItems = false; ///< there were items that are no records
     Revision revision; ///< of the registry when it responded
     std::size_t size = 0; ///< bytes of the response
     std::string next; ///< where the next page of a listing starts; empty on the last page
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -142,7 +142,7 @@
     updateSettledRevision();
     if (response.size > m_limits.maxChangeBytes) {
         refresh(now + m_limits.coalescingDelay);
-    } else if (!response.records.empty()) {
+    } else if (!response.records.empty() || response.hasOtherItems) {
         m_nextCallAt = now + m_limits.coalescingDelay;
     }
 }
--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -414,3 +414,21 @@
     follower.onResponse(decodeResponse(200, page), TimePoint());
     EXPECT_TRUE(follower.isListed());
 }
+
+TEST(OddEntryTest, KeysThatAreNotUsedDoNotCostACallForEachChange)
+{
+    constexpr int Changes = 100;
+    RegistryFollower follower = listed({item("servers/i-1", serverText())}, 7);
+    TimePoint now;
+    int calls = 0;
+    for (std::uint64_t revision = 8; revision < 8 + Changes; ++revision) {
+        now += Milliseconds(10);
+        if (std::holds_alternative<registryaction::Wait>(follower.next(now))) {
+            continue;
+        }
+        ++calls;
+        const Json changes = {{"events", Json::array({item("notes/x", "", revision)})}, {"store-revision", revision}};
+        follower.onResponse(decodeResponse(200, changes.dump()), now);
+    }
+    EXPECT_LE(calls, 3) << "in a second";
+}
