--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -106,7 +106,9 @@
         }
         applyRecord(record, now);
     }
-    m_after = response.next;
+    // A key that could not be read in full may lead to the same page again.
+    const bool hasProgress = response.next != m_after;
+    m_after = hasProgress ? response.next : std::string();
     if (m_after.empty()) {
         endListing(now);
     }
@@ -140,7 +142,7 @@
     updateSettledRevision();
     if (response.size > m_limits.maxChangeBytes) {
         refresh(now + m_limits.coalescingDelay);
-    } else if (!response.records.empty()) {
+    } else if (!response.records.empty() || response.hasOtherItems) {
         m_nextCallAt = now + m_limits.coalescingDelay;
     }
 }
@@ -171,6 +173,7 @@
 {
     if (!m_configuration || m_configuration->number < configuration.number) {
         m_configuration = std::make_shared<const PublishedConfiguration>(std::move(configuration));
+        m_services = {m_configuration->services.begin(), m_configuration->services.end()};
         ++m_changes;
     }
 }
@@ -316,8 +319,8 @@
 
 std::vector<RegisteredTarget> RegistryFollower::activeTargets() const
 {
-    const auto startOrder = [](const RegisteredTarget &target) {
-        return std::pair(target.startedAt, target.revision);
+    const auto startOrder = [this](const RegisteredTarget &target) {
+        return std::tuple(isServiceKnown(target.service), target.startedAt, target.revision);
     };
     std::map<SocketAddress, RegisteredTarget> newest;
     for (const auto &[id, known] : m_targets) {
