[config] The route index builds each key once instead of in every comparison

Host and prefix were joined twice to four times for each comparison of the sort.

The new property compares the index with a search through all routes, with hosts; it passes before and after.

--- a/lib/config/routeindex.cpp
+++ b/lib/config/routeindex.cpp
@@ -22,33 +22,39 @@
     return route.host + route.pathPrefix;
 }
 
-bool isTriedBefore(const std::shared_ptr<const Route> &left, const std::shared_ptr<const Route> &right)
+struct KeyedRoute
 {
-    if (makeKey(*left) != makeKey(*right)) {
-        return makeKey(*left) < makeKey(*right);
+    std::string key;
+    std::shared_ptr<const Route> route;
+};
+
+bool isTriedBefore(const KeyedRoute &left, const KeyedRoute &right)
+{
+    if (const int order = left.key.compare(right.key); order != 0) {
+        return order < 0;
     }
-    if (left->methods.empty() != right->methods.empty()) {
-        return right->methods.empty();
+    if (left.route->methods.empty() != right.route->methods.empty()) {
+        return right.route->methods.empty();
     }
-    return left->id < right->id;
+    return left.route->id < right.route->id;
 }
 
 } // namespace
 
 RouteIndex::RouteIndex(const State &state)
 {
-    std::vector<std::shared_ptr<const Route>> routes;
+    std::vector<KeyedRoute> routes;
     routes.reserve(state.routes.size());
     for (const auto &[id, route] : state.routes) {
-        routes.push_back(route);
+        routes.push_back({makeKey(*route), route});
     }
     std::sort(routes.begin(), routes.end(), isTriedBefore);
-    for (std::shared_ptr<const Route> &route : routes) {
-        std::string key = makeKey(*route);
-        if (m_entries.empty() || m_entries.back().prefix != key) {
-            addEntry(std::move(key));
+    m_entries.reserve(routes.size());
+    for (KeyedRoute &item : routes) {
+        if (m_entries.empty() || m_entries.back().prefix != item.key) {
+            addEntry(std::move(item.key));
         }
-        m_entries.back().routes.push_back(std::move(route));
+        m_entries.back().routes.push_back(std::move(item.route));
     }
 }
 
--- a/unittests/config/statetest.cpp
+++ b/unittests/config/statetest.cpp
@@ -134,3 +134,34 @@
     EXPECT_EQ(find("", "/a/b/x"), "any");
     EXPECT_EQ(find("one.exampl", "/a/x"), "") << "a host must match entirely";
 }
+
+// Routes in any order, with equal prefixes at different hosts: first those of the request's host, then the others.
+RC_GTEST_PROP(StateProperty, IndexAgreesWithLinearSearchAtEachHost, ())
+{
+    State all;
+    std::map<std::string, State> byHost;
+    const int count = *rc::gen::inRange(1, 24);
+    for (int i = 0; i < count; ++i) {
+        Route route;
+        route.id = RouteId("r" + std::to_string(*rc::gen::inRange(0, 1'000)));
+        route.host = *rc::gen::element("", "a", "a.example", "b.example");
+        route.pathPrefix = anyPath();
+        route.methods = *rc::gen::element(std::vector<std::string> {}, std::vector<std::string> {"GET"},
+                                          std::vector<std::string> {"PUT", "GET"});
+        const auto shared = std::make_shared<const Route>(route);
+        if (all.routes.edit().emplace(route.id, shared).second) {
+            byHost[route.host].routes.edit().emplace(route.id, shared);
+        }
+    }
+    const RouteIndex index(all);
+    for (int i = 0; i < 20; ++i) {
+        const std::string host = *rc::gen::element("", "a", "a.example", "b.example", "c.example");
+        const std::string path = anyPath();
+        const std::string method = *rc::gen::element(std::string("GET"), std::string("PUT"), std::string("POST"));
+        const Route *expected = findByLinearSearch(byHost[host], method, path);
+        if (expected == nullptr) {
+            expected = findByLinearSearch(byHost[""], method, path);
+        }
+        RC_ASSERT(index.find(method, path, host) == expected);
+    }
+}
