--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -1,6 +1,8 @@
 // Records that nodes pass on to each other, in any order of changes, losses, restarts and changes of upstream.
 #include "jasminemast/registry/syncserver.h"
 
+#include "jasminemast/support/compression.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
@@ -234,6 +236,27 @@
     EXPECT_FALSE(node.follower.targets().contains(EndpointId("1")));
 }
 
+// Nodes of different versions understand each other.
+TEST(SyncTest, EncodingOfContentStaysTheSame)
+{
+    Route split = route("split");
+    split.service = {};
+    split.split = {{ServiceId("s"), 90}, {ServiceId("t"), 10}};
+    split.methods = {"GET", "PUT"};
+    split.attempts = 2;
+    split.priority = 1;
+    split.targetLatency = 60ms;
+    SyncContent content;
+    content.revision = Revision(12);
+    content.targetsDigest = 13;
+    content.configuration = ConfigurationDelta {TicketNumber(4), configuration(5, {route("a"), split}), {RouteId("b")}};
+    content.targets = {target("1", 2, 11)};
+    content.removedTargets = {EndpointId("2")};
+    const std::string encoded
+        = decompress(encodeSyncContent(content), 1U << 20U, {ResultCode::FrameMalformed, ResultCode::FrameMalformed});
+    EXPECT_EQ(sha256(encoded).hex(), "ba6c17936332a6c198397b63268f1eb228111811052357d33ec1b28f3030556b");
+}
+
 TEST(SyncTest, MalformedContentIsRefused)
 {
     EXPECT_THROW(decodeSyncContent("no zstd frame"), ResultError);
