[registry] Configurations share the routes that have not changed

A difference that a peer passed on was applied by copying every route, and each state copied all of them again. Routes are immutable once decoded, so configurations and states now hold pointers to them. The encoding is the same.

--- a/include/jasminemast/config/state.h
+++ b/include/jasminemast/config/state.h
@@ -48,6 +48,9 @@
     [[nodiscard]] bool isRepeatable(std::string_view method) const;
 };
 
+/// A route that configurations share while it does not change; never null.
+using RoutePtr = std::shared_ptr<const Route>;
+
 /// A named group of interchangeable endpoints.
 struct Service
 {
@@ -88,7 +91,7 @@
 /// a published State never changes.
 struct State
 {
-    using RouteMap = SharedMap<std::map<RouteId, std::shared_ptr<const Route>>>;
+    using RouteMap = SharedMap<std::map<RouteId, RoutePtr>>;
     using ServiceMap = SharedMap<std::map<ServiceId, std::shared_ptr<const Service>>>;
     using EndpointMap = SharedMap<std::map<EndpointId, std::shared_ptr<const Endpoint>>>;
 
--- a/include/jasminemast/registry/registrysource.h
+++ b/include/jasminemast/registry/registrysource.h
@@ -24,7 +24,7 @@
 {
     TicketNumber number;
     Digest digest; ///< SHA-256 of the published bytes
-    std::vector<Route> routes;
+    std::vector<RoutePtr> routes;
     std::vector<ServiceId> services;
     RequestLimits requestLimits;
 };
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -432,8 +432,8 @@
     state.requestLimits = configuration.requestLimits;
     auto &routes = state.routes.edit();
     routes.clear();
-    for (const Route &route : configuration.routes) {
-        routes.emplace(route.id, std::make_shared<const Route>(route));
+    for (const RoutePtr &route : configuration.routes) {
+        routes.emplace(route->id, route);
     }
     state.routeIndex = std::make_shared<const RouteIndex>(state);
     LogEntry entry;
--- a/lib/registry/syncmessages.cpp
+++ b/lib/registry/syncmessages.cpp
@@ -44,6 +44,26 @@
     serializeMilliseconds(archive, route.targetLatency);
 }
 
+void serializeRoutes(EncodeArchive &archive, const std::vector<RoutePtr> &routes)
+{
+    archive(cereal::make_size_tag(static_cast<cereal::size_type>(routes.size())));
+    for (const RoutePtr &route : routes) {
+        archive(*route);
+    }
+}
+
+void serializeRoutes(DecodeArchive &archive, std::vector<RoutePtr> &routes)
+{
+    cereal::size_type size = 0;
+    archive(cereal::make_size_tag(size));
+    routes.clear();
+    for (cereal::size_type i = 0; i < size; ++i) {
+        Route route;
+        archive(route);
+        routes.push_back(std::make_shared<const Route>(std::move(route)));
+    }
+}
+
 template<class Archive>
 void serialize(Archive &archive, RequestLimits &limits)
 {
@@ -59,8 +79,9 @@
 template<class Archive>
 void serialize(Archive &archive, PublishedConfiguration &configuration)
 {
-    archive(configuration.number, configuration.digest, configuration.routes, configuration.services,
-            configuration.requestLimits);
+    archive(configuration.number, configuration.digest);
+    serializeRoutes(archive, configuration.routes);
+    archive(configuration.services, configuration.requestLimits);
 }
 
 template<class Archive>
@@ -88,8 +109,8 @@
 ConfigurationDelta makeDelta(const PublishedConfiguration &base, const PublishedConfiguration &target)
 {
     std::unordered_map<std::string_view, const Route *> removed;
-    for (const Route &route : base.routes) {
-        removed.emplace(route.id.value(), &route);
+    for (const RoutePtr &route : base.routes) {
+        removed.emplace(route->id.value(), route.get());
     }
     ConfigurationDelta delta;
     delta.base = base.number;
@@ -97,9 +118,10 @@
     delta.configuration.digest = target.digest;
     delta.configuration.services = target.services;
     delta.configuration.requestLimits = target.requestLimits;
-    for (const Route &route : target.routes) {
-        const auto known = removed.find(route.id.value());
-        if (known == removed.end() || *known->second != route) {
+    for (const RoutePtr &route : target.routes) {
+        const auto known = removed.find(route->id.value());
+        const bool isSame = known != removed.end() && (known->second == route.get() || *known->second == *route);
+        if (!isSame) {
             delta.configuration.routes.push_back(route);
         }
         if (known != removed.end()) {
@@ -117,14 +139,14 @@
 {
     PublishedConfiguration result = delta.configuration;
     std::unordered_map<std::string_view, bool> replaced;
-    for (const Route &route : delta.configuration.routes) {
-        replaced.emplace(route.id.value(), true);
+    for (const RoutePtr &route : delta.configuration.routes) {
+        replaced.emplace(route->id.value(), true);
     }
     for (const RouteId &id : delta.removedRoutes) {
         replaced.emplace(id.value(), true);
     }
-    for (const Route &route : base.routes) {
-        if (!replaced.contains(route.id.value())) {
+    for (const RoutePtr &route : base.routes) {
+        if (!replaced.contains(route->id.value())) {
             result.routes.push_back(route);
         }
     }
--- a/unittests/platform/recordstest.cpp
+++ b/unittests/platform/recordstest.cpp
@@ -116,7 +116,7 @@
     const PublishedConfiguration configuration = decodeConfiguration(configurationValue().dump());
     EXPECT_EQ(configuration.number, TicketNumber(0x1c));
     ASSERT_EQ(configuration.routes.size(), 2U);
-    const Route &first = configuration.routes[0];
+    const Route &first = *configuration.routes[0];
     EXPECT_EQ(first.host, "jepu9.example");
     EXPECT_EQ(first.pathPrefix, "/lepu270/");
     EXPECT_EQ(first.repeatable, true);
@@ -126,8 +126,8 @@
     EXPECT_EQ(first.priority, 2U);
     ASSERT_EQ(first.split.size(), 2U);
     EXPECT_EQ(first.split[0], (WeightedService {ServiceId("huvo11a"), 90}));
-    EXPECT_EQ(configuration.routes[1].repeatable, false);
-    EXPECT_EQ(configuration.routes[1].service, ServiceId("huvo11a"));
+    EXPECT_EQ(configuration.routes[1]->repeatable, false);
+    EXPECT_EQ(configuration.routes[1]->service, ServiceId("huvo11a"));
     EXPECT_EQ(configuration.requestLimits.idleTimeout, Milliseconds(15'000));
 }
 
--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -26,12 +26,14 @@
     return result;
 }
 
-PublishedConfiguration configuration(std::uint64_t number, std::vector<Route> routes)
+PublishedConfiguration configuration(std::uint64_t number, const std::vector<Route> &routes)
 {
     PublishedConfiguration result;
     result.number = TicketNumber(number);
     result.digest = sha256(std::to_string(number));
-    result.routes = std::move(routes);
+    for (const Route &item : routes) {
+        result.routes.push_back(std::make_shared<const Route>(item));
+    }
     result.services = {ServiceId("s"), ServiceId("t")};
     result.requestLimits.maxHeaderBytes = 4'096;
     return result;
@@ -116,8 +118,8 @@
 std::map<RouteId, Route> routesOf(const PublishedConfiguration &published)
 {
     std::map<RouteId, Route> result;
-    for (const Route &item : published.routes) {
-        result.emplace(item.id, item);
+    for (const RoutePtr &item : published.routes) {
+        result.emplace(item->id, *item);
     }
     return result;
 }
--- a/utils/fuzz/configurationfuzzer.cpp
+++ b/utils/fuzz/configurationfuzzer.cpp
@@ -18,12 +18,12 @@
 
 void checkRoutes(const PublishedConfiguration &configuration)
 {
-    for (const Route &route : configuration.routes) {
-        const bool isSplit = !route.split.empty();
-        if (!route.pathPrefix.starts_with('/') || (!isSplit && !isKnown(configuration, route.service))) {
+    for (const RoutePtr &route : configuration.routes) {
+        const bool isSplit = !route->split.empty();
+        if (!route->pathPrefix.starts_with('/') || (!isSplit && !isKnown(configuration, route->service))) {
             std::abort(); // no call can be routed by this route
         }
-        for (const WeightedService &part : route.split) {
+        for (const WeightedService &part : route->split) {
             if (!isKnown(configuration, part.service)) {
                 std::abort(); // the split names an unknown service
             }
