--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <tuple>
 #include <type_traits>
+#include <unordered_map>
 #include <utility>
 #include <xxhash.h>
 
@@ -33,6 +34,22 @@
     return fields(left) == fields(right);
 }
 
+/// Has \p next share with \p base the routes that are the same in both.
+void shareRoutes(PublishedConfiguration &next, const PublishedConfiguration &base)
+{
+    std::unordered_map<std::string_view, const RoutePtr *> known;
+    known.reserve(base.routes.size());
+    for (const RoutePtr &route : base.routes) {
+        known.emplace(route->id.value(), &route);
+    }
+    for (RoutePtr &route : next.routes) {
+        const auto same = known.find(route->id.value());
+        if (same != known.end() && **same->second == *route) {
+            route = *same->second;
+        }
+    }
+}
+
 } // namespace
 
 RegistryFollower::RegistryFollower(RegistryFollowerLimits limits)
@@ -151,6 +168,9 @@
         [&](auto &concrete) {
             using Record = std::decay_t<decltype(concrete)>;
             if constexpr (std::is_same_v<Record, PublishedConfiguration>) {
+                if (m_configuration && m_configuration->number < concrete.number) {
+                    shareRoutes(concrete, *m_configuration);
+                }
                 setConfiguration(std::move(concrete));
             } else if constexpr (std::is_same_v<Record, RegisteredTarget>) {
                 applyTarget(concrete, now);
--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -166,6 +166,33 @@
     EXPECT_EQ(node.follower.targetsDigest(), upstream.follower.targetsDigest());
 }
 
+TEST(SyncTest, ConfigurationsShareTheRoutesThatHaveNotChanged)
+{
+    const auto objectsOf = [](const Node &node) {
+        std::map<RouteId, RoutePtr> result;
+        for (const RoutePtr &item : node.follower.configuration()->routes) {
+            result.emplace(item->id, item);
+        }
+        return result;
+    };
+    Node reader;
+    Node peer;
+    reader.read(response(10, {configuration(3, {route("a"), route("b"), route("c")}), target("1", 1, 8)}), Start);
+    peer.readAt(reader, Start);
+    const auto readerBefore = objectsOf(reader);
+    const auto peerBefore = objectsOf(peer);
+    const PublishedConfiguration next = configuration(4, {route("d"), route("b", "t"), route("a")});
+    reader.read(response(11, {next}), Start);
+    peer.readAt(reader, Start);
+    for (const auto &[node, before] : {std::pair(&reader, &readerBefore), std::pair(&peer, &peerBefore)}) {
+        const auto after = objectsOf(*node);
+        EXPECT_EQ(routesOf(*node->follower.configuration()), routesOf(next));
+        EXPECT_EQ(after.at(RouteId("a")), before->at(RouteId("a")));
+        EXPECT_NE(after.at(RouteId("b")), before->at(RouteId("b")));
+        EXPECT_EQ(before->at(RouteId("b"))->service, ServiceId("s")) << "the older configuration stays as it was";
+    }
+}
+
 TEST(SyncTest, RequestsAreAnsweredWhenTheirWaitIsOverOrTheNodeLeaves)
 {
     Node upstream;
