--- a/lib/registry/syncmessages.cpp
+++ b/lib/registry/syncmessages.cpp
@@ -5,6 +5,7 @@
 #include "jasminemast/support/compression.h"
 
 #include <algorithm>
+#include <functional>
 #include <unordered_map>
 
 namespace jasminemast
@@ -27,6 +28,17 @@
     time = Milliseconds(count);
 }
 
+std::vector<const Route *> sortedObjects(const std::vector<RoutePtr> &routes)
+{
+    std::vector<const Route *> objects;
+    objects.reserve(routes.size());
+    for (const RoutePtr &route : routes) {
+        objects.push_back(route.get());
+    }
+    std::sort(objects.begin(), objects.end(), std::less<>());
+    return objects;
+}
+
 } // namespace
 
 template<class Archive>
@@ -108,9 +120,17 @@
 
 ConfigurationDelta makeDelta(const PublishedConfiguration &base, const PublishedConfiguration &target)
 {
+    const std::vector<const Route *> baseObjects = sortedObjects(base.routes);
+    const std::vector<const Route *> targetObjects = sortedObjects(target.routes);
+    const auto isIn = [](const std::vector<const Route *> &objects, const RoutePtr &route) {
+        return std::binary_search(objects.begin(), objects.end(), route.get(), std::less<>());
+    };
+    // Routes that both share need no comparison.
     std::unordered_map<std::string_view, const Route *> removed;
     for (const RoutePtr &route : base.routes) {
-        removed.emplace(route->id.value(), route.get());
+        if (!isIn(targetObjects, route)) {
+            removed.emplace(route->id.value(), route.get());
+        }
     }
     ConfigurationDelta delta;
     delta.base = base.number;
@@ -119,8 +139,8 @@
     delta.configuration.services = target.services;
     delta.configuration.requestLimits = target.requestLimits;
     for (const RoutePtr &route : target.routes) {
-        const auto known = removed.find(route->id.value());
-        const bool isSame = known != removed.end() && (known->second == route.get() || *known->second == *route);
+        const auto known = removed.empty() ? removed.end() : removed.find(route->id.value());
+        const bool isSame = known == removed.end() ? isIn(baseObjects, route) : *known->second == *route;
         if (!isSame) {
             delta.configuration.routes.push_back(route);
         }
--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -6,6 +6,8 @@
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 using namespace jasminemast;
 using namespace std::chrono_literals;
 
@@ -405,3 +407,52 @@
                   == routesOf(configuration(registry.number, registry.routes)));
     }
 }
+
+// Configurations that share some of their routes, hold equal ones as other objects, and differ in the rest.
+RC_GTEST_PROP(SyncProperty, DeltaLeadsToTheOtherConfiguration, ())
+{
+    const auto anyService = [] {
+        return std::string(*rc::gen::element("s", "t"));
+    };
+    std::vector<Route> routes;
+    for (int i = 0; i < 12; ++i) {
+        if (*rc::gen::inRange(0, 4) != 0) {
+            routes.push_back(route("r" + std::to_string(i), anyService()));
+        }
+    }
+    const PublishedConfiguration base = configuration(3, routes);
+    PublishedConfiguration next = configuration(4, {});
+    std::set<RouteId> changed;
+    std::set<RouteId> removed;
+    for (const RoutePtr &item : base.routes) {
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            removed.insert(item->id);
+            break;
+        case 1:
+            next.routes.push_back(std::make_shared<const Route>(*item));
+            break;
+        case 2:
+            next.routes.push_back(std::make_shared<const Route>(route(item->id.value(), "u")));
+            changed.insert(item->id);
+            break;
+        default:
+            next.routes.insert(next.routes.begin(), item);
+        }
+    }
+    const int added = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < added; ++i) {
+        next.routes.push_back(std::make_shared<const Route>(route("new" + std::to_string(i), anyService())));
+        changed.insert(next.routes.back()->id);
+    }
+    const ConfigurationDelta delta = makeDelta(base, next);
+    std::set<RouteId> sent;
+    for (const RoutePtr &item : delta.configuration.routes) {
+        sent.insert(item->id);
+    }
+    RC_ASSERT(sent == changed);
+    RC_ASSERT((std::set<RouteId>(delta.removedRoutes.begin(), delta.removedRoutes.end())) == removed);
+    const PublishedConfiguration result = applyDelta(base, delta);
+    RC_ASSERT(result.routes.size() == next.routes.size());
+    RC_ASSERT(routesOf(result) == routesOf(next));
+}
