--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -1,9 +1,13 @@
 // Records that nodes pass on to each other, in any order of changes, losses, restarts and changes of upstream.
 #include "jasminemast/registry/syncserver.h"
 
+#include "jasminemast/support/compression.h"
+
 #include <gtest/gtest.h>
 #include <rapidcheck/gtest.h>
 
+#include <set>
+
 using namespace jasminemast;
 using namespace std::chrono_literals;
 
@@ -24,12 +28,14 @@
     return result;
 }
 
-PublishedConfiguration configuration(std::uint64_t number, std::vector<Route> routes)
+PublishedConfiguration configuration(std::uint64_t number, const std::vector<Route> &routes)
 {
     PublishedConfiguration result;
     result.number = TicketNumber(number);
     result.digest = sha256(std::to_string(number));
-    result.routes = std::move(routes);
+    for (const Route &item : routes) {
+        result.routes.push_back(std::make_shared<const Route>(item));
+    }
     result.services = {ServiceId("s"), ServiceId("t")};
     result.requestLimits.maxHeaderBytes = 4'096;
     return result;
@@ -114,8 +120,8 @@
 std::map<RouteId, Route> routesOf(const PublishedConfiguration &published)
 {
     std::map<RouteId, Route> result;
-    for (const Route &item : published.routes) {
-        result.emplace(item.id, item);
+    for (const RoutePtr &item : published.routes) {
+        result.emplace(item->id, *item);
     }
     return result;
 }
@@ -162,6 +168,33 @@
     EXPECT_EQ(node.follower.targetsDigest(), upstream.follower.targetsDigest());
 }
 
+TEST(SyncTest, ConfigurationsShareTheRoutesThatHaveNotChanged)
+{
+    const auto objectsOf = [](const Node &node) {
+        std::map<RouteId, RoutePtr> result;
+        for (const RoutePtr &item : node.follower.configuration()->routes) {
+            result.emplace(item->id, item);
+        }
+        return result;
+    };
+    Node reader;
+    Node peer;
+    reader.read(response(10, {configuration(3, {route("a"), route("b"), route("c")}), target("1", 1, 8)}), Start);
+    peer.readAt(reader, Start);
+    const auto readerBefore = objectsOf(reader);
+    const auto peerBefore = objectsOf(peer);
+    const PublishedConfiguration next = configuration(4, {route("d"), route("b", "t"), route("a")});
+    reader.read(response(11, {next}), Start);
+    peer.readAt(reader, Start);
+    for (const auto &[node, before] : {std::pair(&reader, &readerBefore), std::pair(&peer, &peerBefore)}) {
+        const auto after = objectsOf(*node);
+        EXPECT_EQ(routesOf(*node->follower.configuration()), routesOf(next));
+        EXPECT_EQ(after.at(RouteId("a")), before->at(RouteId("a")));
+        EXPECT_NE(after.at(RouteId("b")), before->at(RouteId("b")));
+        EXPECT_EQ(before->at(RouteId("b"))->service, ServiceId("s")) << "the older configuration stays as it was";
+    }
+}
+
 TEST(SyncTest, RequestsAreAnsweredWhenTheirWaitIsOverOrTheNodeLeaves)
 {
     Node upstream;
@@ -234,6 +267,27 @@
     EXPECT_FALSE(node.follower.targets().contains(EndpointId("1")));
 }
 
+// Nodes of different versions understand each other.
+TEST(SyncTest, EncodingOfContentStaysTheSame)
+{
+    Route split = route("split");
+    split.service = {};
+    split.split = {{ServiceId("s"), 90}, {ServiceId("t"), 10}};
+    split.methods = {"GET", "PUT"};
+    split.attempts = 2;
+    split.priority = 1;
+    split.targetLatency = 60ms;
+    SyncContent content;
+    content.revision = Revision(12);
+    content.targetsDigest = 13;
+    content.configuration = ConfigurationDelta {TicketNumber(4), configuration(5, {route("a"), split}), {RouteId("b")}};
+    content.targets = {target("1", 2, 11)};
+    content.removedTargets = {EndpointId("2")};
+    const std::string encoded
+        = decompress(encodeSyncContent(content), 1U << 20U, {ResultCode::FrameMalformed, ResultCode::FrameMalformed});
+    EXPECT_EQ(sha256(encoded).hex(), "ba6c17936332a6c198397b63268f1eb228111811052357d33ec1b28f3030556b");
+}
+
 TEST(SyncTest, MalformedContentIsRefused)
 {
     EXPECT_THROW(decodeSyncContent("no zstd frame"), ResultError);
@@ -353,3 +407,52 @@
                   == routesOf(configuration(registry.number, registry.routes)));
     }
 }
+
+// Configurations that share some of their routes, hold equal ones as other objects, and differ in the rest.
+RC_GTEST_PROP(SyncProperty, DeltaLeadsToTheOtherConfiguration, ())
+{
+    const auto anyService = [] {
+        return std::string(*rc::gen::element("s", "t"));
+    };
+    std::vector<Route> routes;
+    for (int i = 0; i < 12; ++i) {
+        if (*rc::gen::inRange(0, 4) != 0) {
+            routes.push_back(route("r" + std::to_string(i), anyService()));
+        }
+    }
+    const PublishedConfiguration base = configuration(3, routes);
+    PublishedConfiguration next = configuration(4, {});
+    std::set<RouteId> changed;
+    std::set<RouteId> removed;
+    for (const RoutePtr &item : base.routes) {
+        switch (*rc::gen::inRange(0, 5)) {
+        case 0:
+            removed.insert(item->id);
+            break;
+        case 1:
+            next.routes.push_back(std::make_shared<const Route>(*item));
+            break;
+        case 2:
+            next.routes.push_back(std::make_shared<const Route>(route(item->id.value(), "u")));
+            changed.insert(item->id);
+            break;
+        default:
+            next.routes.insert(next.routes.begin(), item);
+        }
+    }
+    const int added = *rc::gen::inRange(0, 4);
+    for (int i = 0; i < added; ++i) {
+        next.routes.push_back(std::make_shared<const Route>(route("new" + std::to_string(i), anyService())));
+        changed.insert(next.routes.back()->id);
+    }
+    const ConfigurationDelta delta = makeDelta(base, next);
+    std::set<RouteId> sent;
+    for (const RoutePtr &item : delta.configuration.routes) {
+        sent.insert(item->id);
+    }
+    RC_ASSERT(sent == changed);
+    RC_ASSERT((std::set<RouteId>(delta.removedRoutes.begin(), delta.removedRoutes.end())) == removed);
+    const PublishedConfiguration result = applyDelta(base, delta);
+    RC_ASSERT(result.routes.size() == next.routes.size());
+    RC_ASSERT(routesOf(result) == routesOf(next));
+}
