[net] Read what arrived during a pause before a limit of time ends the wait for it

What callers saw: after a pause of their node of more than 0.5 s, an attempt that waited for its link was given up although the peer's hello was there: it counts as a failure of the peer, and the call went to another target or, without one, got 503. A link that was unused for its idle limit was closed with a request unread in its socket.

Cause: libev runs the timers that are due before the descriptors that are ready in the same iteration. After a pause, all limits that ended during it were found to be over before anything was read: waiting for a link, an idle or silent link, connecting to a target, replies of peers and of the store.

Evidence: AttemptIsSentOnALinkWhosePeerRespondedDuringAPause, FrameThatArrivedDuringAPauseIsReadBeforeAnIdleLinkIsClosed and DueTimerRunsAfterWhatHasArrivedWasRead failed before, each time.

Change: timers have the lowest priority of libev, so that they run after descriptors in each iteration. What is read stops the timer, or moves the time that it looks at. Timer::isActive() includes timers that are due, as these now may be asked before they call back: with the priority alone, callfaulttest (TerminatedNodesFailNoCall) lost responses of its targets, whose timers it dropped as over.

--- a/include/jasminemast/net/loop.h
+++ b/include/jasminemast/net/loop.h
@@ -48,6 +48,9 @@
 };
 
 /// Calls back after a delay, once or repeatedly. Destroying the timer cancels it.
+///
+/// In an iteration of the loop, timers come after descriptors and signals: after a pause of the process, what has
+/// arrived is read before the time to wait for it is found to be over.
 class Timer
 {
 public:
@@ -61,6 +64,7 @@
     /// Calls back every \p period.
     void startRepeating(Duration period);
     void stop();
+    /// True until it calls back, also while it is due.
     [[nodiscard]] bool isActive() const;
 
 private:
--- a/lib/net/loop.cpp
+++ b/lib/net/loop.cpp
@@ -12,6 +12,8 @@
 namespace
 {
 
+constexpr int TimerPriority = EV_MINPRI;
+
 ev_tstamp toSeconds(Duration duration)
 {
     return std::chrono::duration<double>(duration).count();
@@ -83,6 +85,7 @@
     , m_callback(std::move(callback))
 {
     ev_init(&m_timer, &Timer::onTimer);
+    ev_set_priority(&m_timer, TimerPriority);
     m_timer.data = this;
 }
 
@@ -117,7 +120,7 @@
 
 bool Timer::isActive() const
 {
-    return ev_is_active(&m_timer) != 0;
+    return ev_is_active(&m_timer) != 0 || ev_is_pending(&m_timer) != 0;
 }
 
 void Timer::onTimer(struct ev_loop * /*loop*/, ev_timer *watcher, int /*events*/)
--- a/unittests/net/linktest.cpp
+++ b/unittests/net/linktest.cpp
@@ -9,6 +9,7 @@
 #include <gtest/gtest.h>
 
 #include <cstring>
+#include <thread>
 
 namespace jasminemast
 {
@@ -255,6 +256,21 @@
     EXPECT_NE(std::find(m_down.begin(), m_down.end(), ResultCode::LinkIdle), m_down.end());
 }
 
+TEST_F(LinkTest, FrameThatArrivedDuringAPauseIsReadBeforeAnIdleLinkIsClosed)
+{
+    constexpr Milliseconds IdleLimit {500};
+    const auto pool = makePool("h1", m_address, IdleLimit);
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write(hello("h2")) > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_up.size() == 1; }));
+    m_clock.advance(IdleLimit + 1ms);
+    peer.write(frame(UserType, "sent during the pause"));
+    std::this_thread::sleep_for(50ms); // the pool's check of its links is due
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_frames.empty() || !m_down.empty(); }));
+    EXPECT_EQ(m_frames.size(), 1U);
+    EXPECT_TRUE(m_down.empty());
+}
+
 TEST_F(LinkTest, SendsUrgentFramesFirstAndBulkStreamsRoundRobin)
 {
     constexpr int SmallBufferBytes = 8'192;
--- a/unittests/net/looptest.cpp
+++ b/unittests/net/looptest.cpp
@@ -4,6 +4,9 @@
 #include <gtest/gtest.h>
 
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
 
 namespace jasminemast
 {
@@ -39,5 +42,34 @@
     EXPECT_TRUE(owned.expired());
 }
 
+// What arrived while the process was paused counts, although a limit of time has passed meanwhile.
+TEST(LoopTest, DueTimerRunsAfterWhatHasArrivedWasRead)
+{
+    using std::chrono_literals::operator""ms;
+    Loop loop;
+    std::array<int, 2> pipe {};
+    ASSERT_EQ(::pipe(pipe.data()), 0);
+    const Descriptor readEnd(pipe[0]);
+    const Descriptor writeEnd(pipe[1]);
+    ASSERT_EQ(::write(writeEnd.get(), "x", 1), 1);
+    bool wasRead = false;
+    bool wasReadFirst = false;
+    bool wasActiveUntilCalled = false;
+    Timer timer(loop, [&] {
+        wasReadFirst = wasRead;
+        loop.stop();
+    });
+    IoWatcher watcher(loop, [&](int /*events*/) {
+        wasRead = true;
+        wasActiveUntilCalled = timer.isActive();
+        watcher.stop();
+    });
+    watcher.start(readEnd.get(), EV_READ);
+    timer.start(0ms);
+    loop.run();
+    EXPECT_TRUE(wasReadFirst);
+    EXPECT_TRUE(wasActiveUntilCalled) << "its owner would start it again, or drop it";
+}
+
 } // namespace
 } // namespace jasminemast
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -7,6 +7,8 @@
 
 #include <gtest/gtest.h>
 
+#include <thread>
+
 using namespace jasminemast;
 using namespace std::chrono_literals;
 
@@ -21,6 +23,16 @@
     return settings;
 }
 
+/// First frame on a link.
+std::string helloFrame(const std::string &host)
+{
+    constexpr std::uint32_t Version = 1;
+    constexpr char HelloType = 1;
+    const std::string payload = encodeMessage(Version) + encodeMessage(LinkIdentity {HostId(host), Incarnation(7)});
+    const auto length = static_cast<std::uint32_t>(payload.size() + 1);
+    return std::string(reinterpret_cast<const char *>(&length), sizeof(length)) + HelloType + payload;
+}
+
 class EntryProxyTest : public testing::Test
 {
 protected:
@@ -251,3 +263,21 @@
     ASSERT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
     EXPECT_EQ(m_statuses, std::vector<unsigned> {200});
 }
+
+TEST_F(EntryProxyTest, AttemptIsSentOnALinkWhosePeerRespondedDuringAPause)
+{
+    m_targetHost.stopAccepting();
+    TestListener listener(m_targetHostAddress);
+    call();
+    Descriptor accepted;
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        accepted = accepted.isOpen() ? std::move(accepted) : listener.accept();
+        return accepted.isOpen();
+    }));
+    TestPeer peer(std::move(accepted));
+    ASSERT_GT(peer.write(helloFrame("target-host")), 0U);
+    m_clock.advance(EntryLimits {}.connectTimeout + 1ms);
+    std::this_thread::sleep_for(TickInterval * 3); // the node's check of its calls is due
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("POST"); }));
+    EXPECT_EQ(m_metrics.countedTotal(Counter::CallRetries), 0U);
+}
