[node] The drain counts its times from when the signal came, not from when the loop got round to it

What callers saw: not traced to a request. A node that is busy as SIGTERM comes exits that much later than the platform expects, with half a second to spare before SIGKILL, which would cut the responses that it still sends.

Cause: NodeDrain started when libev's watcher was called.

SignalThatComesWhileTheLoopIsBusyTellsHowLongAgoItCame failed while the watcher passed on no time.

Change: SignalWatcher has a signal handler of its own, which records the time and has libev do the rest, and passes the time since then on. The handler runs as soon as the process does, also in the middle of a callback. A process that is stopped (SIGSTOP) receives its signals once it goes on, as before.

--- a/include/jasminemast/net/loop.h
+++ b/include/jasminemast/net/loop.h
@@ -99,11 +99,13 @@
     ev_io m_io {};
 };
 
-/// Calls back when the process receives a signal.
+/// Calls back when the process receives a signal, with the time that has passed since then: a busy loop calls late.
 class SignalWatcher
 {
 public:
-    SignalWatcher(Loop &loop, int signal, std::function<void()> callback);
+    using Callback = std::function<void(Duration age)>;
+
+    SignalWatcher(Loop &loop, int signal, Callback callback);
     ~SignalWatcher();
     SignalWatcher(const SignalWatcher &) = delete;
     SignalWatcher &operator=(const SignalWatcher &) = delete;
@@ -112,7 +114,7 @@
     static void onSignal(struct ev_loop *loop, ev_signal *watcher, int events);
 
     Loop &m_loop;
-    std::function<void()> m_callback;
+    Callback m_callback;
     ev_signal m_signal {};
 };
 
--- a/include/jasminemast/node/node.h
+++ b/include/jasminemast/node/node.h
@@ -36,7 +36,7 @@
     Link::Handlers linkHandlers();
     void onFrame(const std::shared_ptr<Link> &link, FrameType type, std::string_view payload);
     void onLinkDown(const std::shared_ptr<Link> &link, ResultCode reason);
-    void beginDrain();
+    void beginDrain(Duration signalAge);
     void checkDrained();
     void perform(DrainStep step);
     [[nodiscard]] DrainWork drainWork() const;
--- a/lib/net/loop.cpp
+++ b/lib/net/loop.cpp
@@ -3,6 +3,10 @@
 
 #include <unistd.h>
 
+#include <array>
+#include <atomic>
+#include <cerrno>
+#include <csignal>
 #include <stdexcept>
 #include <utility>
 
@@ -19,6 +23,34 @@
     return std::chrono::duration<double>(duration).count();
 }
 
+/// For each signal, when the process received it if no watcher has been called since; 0: not received.
+std::array<std::atomic<Duration::rep>, NSIG> receivedAt;
+static_assert(std::atomic<Duration::rep>::is_always_lock_free, "a signal handler may use no lock");
+
+Duration steadyTime()
+{
+    return std::chrono::steady_clock::now().time_since_epoch();
+}
+
+/// Replaces libev's handler, which records no time.
+void onSignalReceived(int signal)
+{
+    const int error = errno;
+    Duration::rep none = 0;
+    receivedAt.at(static_cast<std::size_t>(signal)).compare_exchange_strong(none, steadyTime().count());
+    ev_feed_signal(signal);
+    errno = error;
+}
+
+void recordTimeOf(int signal)
+{
+    struct sigaction action = {};
+    action.sa_handler = &onSignalReceived;
+    action.sa_flags = SA_RESTART;
+    sigfillset(&action.sa_mask);
+    ::sigaction(signal, &action, nullptr);
+}
+
 } // namespace
 
 Loop::Loop()
@@ -161,13 +193,14 @@
     static_cast<IoWatcher *>(watcher->data)->m_callback(events);
 }
 
-SignalWatcher::SignalWatcher(Loop &loop, int signal, std::function<void()> callback)
+SignalWatcher::SignalWatcher(Loop &loop, int signal, Callback callback)
     : m_loop(loop)
     , m_callback(std::move(callback))
 {
     ev_signal_init(&m_signal, &SignalWatcher::onSignal, signal);
     m_signal.data = this;
     ev_signal_start(m_loop.raw(), &m_signal);
+    recordTimeOf(signal);
     ev_unref(m_loop.raw());
 }
 
@@ -179,7 +212,9 @@
 
 void SignalWatcher::onSignal(struct ev_loop * /*loop*/, ev_signal *watcher, int /*events*/)
 {
-    static_cast<SignalWatcher *>(watcher->data)->m_callback();
+    const Duration::rep received = receivedAt.at(static_cast<std::size_t>(watcher->signum)).exchange(0);
+    const Duration age = received == 0 ? Duration::zero() : steadyTime() - Duration(received);
+    static_cast<SignalWatcher *>(watcher->data)->m_callback(age);
 }
 
 Descriptor::Descriptor(Descriptor &&other) noexcept
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -57,9 +57,9 @@
     : m_loop(loop)
     , m_clock(clock)
     , m_settings(std::move(settings))
-    , m_terminate(loop, SIGTERM, [this] { beginDrain(); })
-    , m_interrupt(loop, SIGINT, [this] { beginDrain(); })
-    , m_hangup(loop, SIGHUP, [this] { reload(); })
+    , m_terminate(loop, SIGTERM, [this](Duration age) { beginDrain(age); })
+    , m_interrupt(loop, SIGINT, [this](Duration age) { beginDrain(age); })
+    , m_hangup(loop, SIGHUP, [this](Duration /*age*/) { reload(); })
     , m_settingsTimer(loop, [this] { reloadIfChanged(); })
     , m_incarnation(makeIncarnation(clock))
     , m_random(std::random_device {}())
@@ -213,13 +213,13 @@
     }
 }
 
-void Node::beginDrain()
+void Node::beginDrain(Duration signalAge)
 {
     if (m_drain) {
         return;
     }
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
-    m_drain.emplace(m_settings.drain, m_clock.now());
+    m_drain.emplace(m_settings.drain, m_clock.now() - signalAge);
     m_control.beginDrain();
     if (m_drain->hasExitTime()) {
         m_entryProxy.limitDeadlines(m_drain->latestDeadline(), m_drain->withdrawTimeout());
--- a/unittests/net/looptest.cpp
+++ b/unittests/net/looptest.cpp
@@ -7,6 +7,7 @@
 #include <unistd.h>
 
 #include <array>
+#include <csignal>
 
 namespace jasminemast
 {
@@ -71,5 +72,30 @@
     EXPECT_TRUE(wasActiveUntilCalled) << "its owner would start it again, or drop it";
 }
 
+// The platform counts the time until it kills the process from the signal.
+TEST(LoopTest, SignalThatComesWhileTheLoopIsBusyTellsHowLongAgoItCame)
+{
+    using std::chrono_literals::operator""ms;
+    Loop loop;
+    const SystemClock clock;
+    Duration busy {0};
+    Duration age {0};
+    const SignalWatcher watcher(loop, SIGUSR1, [&](Duration since) {
+        age = since;
+        loop.stop();
+    });
+    loop.post([&] {
+        ::raise(SIGUSR1);
+        const TimePoint raisedAt = clock.now();
+        while (busy < 1ms) {
+            busy = clock.now() - raisedAt;
+        }
+    });
+    Timer keepRunning(loop, [] {});
+    keepRunning.startRepeating(1ms);
+    loop.run();
+    EXPECT_GE(age, busy);
+}
+
 } // namespace
 } // namespace jasminemast
