--- a/include/jasminemast/net/loop.h
+++ b/include/jasminemast/net/loop.h
@@ -48,6 +48,9 @@
 };
 
 /// Calls back after a delay, once or repeatedly. Destroying the timer cancels it.
+///
+/// In an iteration of the loop, timers come after descriptors and signals: after a pause of the process, what has
+/// arrived is read before the time to wait for it is found to be over.
 class Timer
 {
 public:
@@ -61,6 +64,7 @@
     /// Calls back every \p period.
     void startRepeating(Duration period);
     void stop();
+    /// True until it calls back, also while it is due.
     [[nodiscard]] bool isActive() const;
 
 private:
@@ -95,11 +99,13 @@
     ev_io m_io {};
 };
 
-/// Calls back when the process receives a signal.
+/// Calls back when the process receives a signal, with the time that has passed since then: a busy loop calls late.
 class SignalWatcher
 {
 public:
-    SignalWatcher(Loop &loop, int signal, std::function<void()> callback);
+    using Callback = std::function<void(Duration age)>;
+
+    SignalWatcher(Loop &loop, int signal, Callback callback);
     ~SignalWatcher();
     SignalWatcher(const SignalWatcher &) = delete;
     SignalWatcher &operator=(const SignalWatcher &) = delete;
@@ -108,7 +114,7 @@
     static void onSignal(struct ev_loop *loop, ev_signal *watcher, int events);
 
     Loop &m_loop;
-    std::function<void()> m_callback;
+    Callback m_callback;
     ev_signal m_signal {};
 };
 
--- a/unittests/net/looptest.cpp
+++ b/unittests/net/looptest.cpp
@@ -4,6 +4,10 @@
 #include <gtest/gtest.h>
 
 #include <sys/socket.h>
+#include <unistd.h>
+
+#include <array>
+#include <csignal>
 
 namespace jasminemast
 {
@@ -39,5 +43,59 @@
     EXPECT_TRUE(owned.expired());
 }
 
+// What arrived while the process was paused counts, although a limit of time has passed meanwhile.
+TEST(LoopTest, DueTimerRunsAfterWhatHasArrivedWasRead)
+{
+    using std::chrono_literals::operator""ms;
+    Loop loop;
+    std::array<int, 2> pipe {};
+    ASSERT_EQ(::pipe(pipe.data()), 0);
+    const Descriptor readEnd(pipe[0]);
+    const Descriptor writeEnd(pipe[1]);
+    ASSERT_EQ(::write(writeEnd.get(), "x", 1), 1);
+    bool wasRead = false;
+    bool wasReadFirst = false;
+    bool wasActiveUntilCalled = false;
+    Timer timer(loop, [&] {
+        wasReadFirst = wasRead;
+        loop.stop();
+    });
+    IoWatcher watcher(loop, [&](int /*events*/) {
+        wasRead = true;
+        wasActiveUntilCalled = timer.isActive();
+        watcher.stop();
+    });
+    watcher.start(readEnd.get(), EV_READ);
+    timer.start(0ms);
+    loop.run();
+    EXPECT_TRUE(wasReadFirst);
+    EXPECT_TRUE(wasActiveUntilCalled) << "its owner would start it again, or drop it";
+}
+
+// The platform counts the time until it kills the process from the signal.
+TEST(LoopTest, SignalThatComesWhileTheLoopIsBusyTellsHowLongAgoItCame)
+{
+    using std::chrono_literals::operator""ms;
+    Loop loop;
+    const SystemClock clock;
+    Duration busy {0};
+    Duration age {0};
+    const SignalWatcher watcher(loop, SIGUSR1, [&](Duration since) {
+        age = since;
+        loop.stop();
+    });
+    loop.post([&] {
+        ::raise(SIGUSR1);
+        const TimePoint raisedAt = clock.now();
+        while (busy < 1ms) {
+            busy = clock.now() - raisedAt;
+        }
+    });
+    Timer keepRunning(loop, [] {});
+    keepRunning.startRepeating(1ms);
+    loop.run();
+    EXPECT_GE(age, busy);
+}
+
 } // namespace
 } // namespace jasminemast
