[net] A response without an id on a kept connection is not taken for the current request's

Seen by callers: 503 with Jasminemast-Outcome not-run for a request that its target was running, and a second run of it at another target, when a target wrote an earlier refusal (X-Not-Executed or 421) once more, without the id. A 200 without an id was passed on as the answer of the current request in the same way.

Cause: TargetConnection skips responses with the id of another request, but took those without any id for the current request's.

Fix: a request that has an id skips responses without one on a connection that has carried another request, as it skips those with another id. Targets echo the id. On the first request of a connection there is nothing to copy: a refusal without an id still means not run there. Requests without an id can't be told from others and get a new connection.

--- a/include/jasminemast/net/targetclient.h
+++ b/include/jasminemast/net/targetclient.h
@@ -34,10 +34,14 @@
     Milliseconds timeout {10'000};
     Milliseconds connectTimeout {1'000};
     bool atMostOnce = false; ///< never send the request again after the target may have received it
-    /// Header that names the request; a response with another value under it is skipped. Empty: none is skipped.
+    /// Header that names the request. A response with another value under it is skipped, and on a connection that has
+    /// carried another request also one without it. Empty: none is skipped.
     std::string requestIdHeader;
 };
 
+/// The id of \p request; null if it has none.
+const std::string *requestId(const TargetClientRequest &request);
+
 struct TargetClientLimits
 {
     std::size_t maxIdleConnections = 100;
--- a/lib/net/targetclient.cpp
+++ b/lib/net/targetclient.cpp
@@ -16,6 +16,11 @@
 
 } // namespace
 
+const std::string *requestId(const TargetClientRequest &request)
+{
+    return request.requestIdHeader.empty() ? nullptr : findHeader(request.headers, request.requestIdHeader);
+}
+
 TargetTransfer::TargetTransfer(TargetClient &client, TargetClientRequest request, Handlers handlers)
     : m_client(client)
     , m_request(std::move(request))
@@ -109,6 +114,10 @@
 
 std::shared_ptr<TargetConnection> TargetClient::takeIdle(const TargetClientRequest &request)
 {
+    // On a kept connection, a late copy of an earlier response could not be told from the response.
+    if (!request.requestIdHeader.empty() && requestId(request) == nullptr) {
+        return nullptr;
+    }
     const Milliseconds maxIdleTime = request.atMostOnce ? m_limits.maxIdleTimeAtMostOnce : m_limits.maxIdleTime;
     const TimePoint now = m_clock.now();
     for (auto position = m_idle.rbegin(); position != m_idle.rend(); ++position) {
--- a/lib/net/targetconnection.cpp
+++ b/lib/net/targetconnection.cpp
@@ -263,10 +263,7 @@
     if (m_transfer == nullptr) {
         return;
     }
-    const TargetClientRequest &request = m_transfer->m_request;
-    const std::string *id = request.requestIdHeader.empty() ? nullptr : findHeader(headers, request.requestIdHeader);
-    const std::string *own = id == nullptr ? nullptr : findHeader(request.headers, request.requestIdHeader);
-    m_isForeign = own != nullptr && *own != *id;
+    m_isForeign = isForeign(headers);
     const auto handlers = m_transfer->m_handlers;
     if (m_isForeign) {
         ++m_foreignResponses;
@@ -283,6 +280,18 @@
     }
 }
 
+bool TargetConnection::isForeign(const HttpHeaders &headers) const
+{
+    const TargetClientRequest &request = m_transfer->m_request;
+    const std::string *own = requestId(request);
+    if (own == nullptr) {
+        return false;
+    }
+    const std::string *id = findHeader(headers, request.requestIdHeader);
+    // Without id, it may be a late copy of an earlier response unless there was none.
+    return id == nullptr ? m_wasUsed : *id != *own;
+}
+
 void TargetConnection::handleBody(std::string_view bytes)
 {
     if (m_transfer == nullptr) {
--- a/lib/net/targetconnection.h
+++ b/lib/net/targetconnection.h
@@ -38,6 +38,8 @@
     void readAvailable();
     void processInput();
     void handleHead(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
+    /// True if the response with \p headers may belong to another request than the current one.
+    [[nodiscard]] bool isForeign(const HttpHeaders &headers) const;
     void handleBody(std::string_view bytes);
     void finishResponse();
     void fail(ResultCode code, std::string detail);
