[net] A connection to a target carries no request id twice

Seen by callers: 503 with Jasminemast-Outcome not-run for a request that its target was running, or a second run of it at another target.

Cause: after X-Not-Executed or 421 a call makes another attempt, and EndpointSelector::pick falls back to the endpoints that have refused the call if there are no others, such as the only server of a service. The attempt bears the same id and took the same kept connection, so a late copy of the first refusal passed for the response to the second.

Fix: a connection remembers the ids of all requests that it has carried, as hashes, and is not used for one of them again; an equal hash of another id only leads to another connection. So the id of a response names one request of its connection. After 1,000 requests the connection is closed, which bounds the memory (8 KB each).

--- a/include/jasminemast/net/targetclient.h
+++ b/include/jasminemast/net/targetclient.h
@@ -52,6 +52,7 @@
     Milliseconds keepAliveMargin {500}; ///< a connection is used until so long before the timeout that the target named
     /// A connection that is reset so soon after a request was sent was closed before the request arrived.
     Milliseconds staleResetTime {10};
+    std::size_t maxRequestsPerConnection = 1'000; ///< of those with an id: all ids are remembered
     unsigned maxForeignResponses = 8; ///< skipped while one response is awaited
     std::size_t maxForeignBytes = 1U << 20U; ///< size of their bodies
 };
--- a/lib/net/targetclient.cpp
+++ b/lib/net/targetclient.cpp
@@ -115,14 +115,16 @@
 std::shared_ptr<TargetConnection> TargetClient::takeIdle(const TargetClientRequest &request)
 {
     // On a kept connection, a late copy of an earlier response could not be told from the response.
-    if (!request.requestIdHeader.empty() && requestId(request) == nullptr) {
+    const std::string *id = requestId(request);
+    if (!request.requestIdHeader.empty() && id == nullptr) {
         return nullptr;
     }
     const Milliseconds maxIdleTime = request.atMostOnce ? m_limits.maxIdleTimeAtMostOnce : m_limits.maxIdleTime;
     const TimePoint now = m_clock.now();
     for (auto position = m_idle.rbegin(); position != m_idle.rend(); ++position) {
         auto connection = *position;
-        if (connection->address() != request.address || !connection->canBeUsed(now, maxIdleTime)) {
+        if (connection->address() != request.address || !connection->canBeUsed(now, maxIdleTime)
+            || (id != nullptr && connection->mayHaveCarried(*id))) {
             continue;
         }
         m_idle.erase(std::next(position).base());
--- a/lib/net/targetconnection.cpp
+++ b/lib/net/targetconnection.cpp
@@ -9,6 +9,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <functional>
 #include <utility>
 
 namespace jasminemast
@@ -96,6 +97,9 @@
 void TargetConnection::run(const std::shared_ptr<TargetTransfer> &transfer)
 {
     m_transfer = transfer;
+    if (const std::string *id = requestId(transfer->m_request)) {
+        m_carriedIds.push_back(std::hash<std::string> {}(*id));
+    }
     m_head = requestHead(transfer->m_request);
     m_written = 0;
     m_sendError.clear();
@@ -355,7 +359,8 @@
     const auto transfer = std::exchange(m_transfer, nullptr);
     const bool isReusable = isComplete && m_socket.isOpen() && m_input.empty() && m_parser.isComplete()
         && m_parser.keepsConnection() && transfer != nullptr
-        && m_written == m_head.size() + transfer->m_request.body.size();
+        && m_written == m_head.size() + transfer->m_request.body.size()
+        && m_carriedIds.size() < m_client.m_limits.maxRequestsPerConnection;
     if (!isReusable) {
         close();
         return;
@@ -380,6 +385,11 @@
     return m_socket.isOpen() && now - m_idleSince < std::min(maxIdleTime, m_keepAlive);
 }
 
+bool TargetConnection::mayHaveCarried(const std::string &id) const
+{
+    return std::find(m_carriedIds.begin(), m_carriedIds.end(), std::hash<std::string> {}(id)) != m_carriedIds.end();
+}
+
 void TargetConnection::watch()
 {
     if (!m_socket.isOpen()) {
--- a/lib/net/targetconnection.h
+++ b/lib/net/targetconnection.h
@@ -6,6 +6,7 @@
 
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace jasminemast
 {
@@ -29,6 +30,8 @@
     }
     /// True if an idle connection is still open and not too old for another request.
     [[nodiscard]] bool canBeUsed(TimePoint now, Milliseconds maxIdleTime) const;
+    /// False if no request with \p id was sent on this connection, so that no copy of its response can arrive.
+    [[nodiscard]] bool mayHaveCarried(const std::string &id) const;
 
 private:
     void connect();
@@ -59,6 +62,7 @@
     std::size_t m_written = 0; ///< bytes of head and body that the kernel has accepted
     std::string m_sendError; ///< why the rest of the request can't be sent; empty if it can
     std::string m_input; ///< received bytes that have not been parsed
+    std::vector<std::size_t> m_carriedIds; ///< hashes of the ids of all requests sent on this connection
     bool m_connecting = false;
     bool m_wasUsed = false; ///< has carried a complete exchange
     bool m_receivedSome = false; ///< of the response
--- a/unittests/net/targetclienttest.cpp
+++ b/unittests/net/targetclienttest.cpp
@@ -185,6 +185,30 @@
     EXPECT_TRUE(runUntil(m_loop, [&] { return hasNewConnection(); }));
 }
 
+TEST_F(TargetClientTest, ConnectionEndsBeforeItHasMoreIdsThanItRemembers)
+{
+    TargetClientLimits limits;
+    limits.maxRequestsPerConnection = 3;
+    TargetClient client(m_loop, m_clock, limits);
+    std::optional<TestPeer> peer;
+    for (int i = 0; i < 6; ++i) {
+        const std::string id = "id" + std::to_string(i);
+        bool done = false;
+        TargetTransfer::Handlers handlers;
+        handlers.onDone = [&done](const HttpClientResult &) {
+            done = true;
+        };
+        client.start(request(id), handlers);
+        if (i % 3 == 0) {
+            peer.emplace(acceptPeer(m_loop, m_listener));
+        }
+        awaitRequest(*peer, id);
+        peer->write(response(id, "abc"));
+        EXPECT_TRUE(runUntil(m_loop, [&] { return done; }));
+        EXPECT_EQ(client.idleConnections(), i % 3 == 2 ? 0U : 1U);
+    }
+}
+
 // The target drops the idle connection while the request is on its way.
 TEST_F(TargetClientTest, SendsAgainOverANewConnectionWhatCannotHaveArrived)
 {
