[net] A head that is cut by the end of its connection is no response

Seen by callers: nothing directly. The answers of the store and of health checks that were cut within the head passed for whole: a cut 404 for "there is no such key", a 200 for an empty body, with the index of the change if that header had arrived, so that a watcher went on behind the change.

Cause: libcurl (7.88.1) reports CURLE_OK if the connection ends after a status line and before the empty line that ends the head, also if only an interim response has arrived.

Fix: HttpClient takes a response for complete only if the empty line and a final status have arrived.

Evidence: HttpClientTest.HeadCutAtAnyByteIsNoResponse cuts four heads (with length, without, chunked, after 100) at each byte; before the change, the results are Ok with the status of the cut head from the end of the status line on. The added rows for a cut chunk header and cut trailers passed before, too.

--- a/include/jasminemast/net/httpclient.h
+++ b/include/jasminemast/net/httpclient.h
@@ -74,6 +74,7 @@
     void failInvalidRequest();
     void clearHandlers();
     void deliverHead();
+    [[nodiscard]] bool isResponseComplete(CURLcode code) const;
     HttpClientResult resultOf(CURLcode code) const;
 
     HttpClient &m_client;
@@ -88,6 +89,7 @@
     std::size_t m_bodyBytes = 0;
     bool m_responseTooLarge = false;
     int m_sendAttempts = 0; ///< how often libcurl was about to send the request
+    bool m_headEnded = false; ///< the empty line after the headers of the current response has arrived
     bool m_headDelivered = false;
     bool m_paused = false;
     bool m_repeatPrevented = false;
--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -111,8 +111,10 @@
         }
         if (line.starts_with("HTTP/")) {
             transfer->m_responseHeaders.clear();
+            transfer->m_headEnded = false;
             return line.size();
         }
+        transfer->m_headEnded = transfer->m_headEnded || line == "\r\n" || line == "\n";
         const std::size_t colon = line.find(':');
         if (colon != std::string_view::npos) {
             transfer->m_responseHeaders.push_back(
@@ -223,14 +225,23 @@
     }
 }
 
+bool HttpTransfer::isResponseComplete(CURLcode code) const
+{
+    // libcurl takes a head that the end of the connection cuts for a complete response.
+    constexpr long FirstFinalStatus = 200;
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    return code == CURLE_OK && m_headEnded && status >= FirstFinalStatus;
+}
+
 HttpClientResult HttpTransfer::resultOf(CURLcode code) const
 {
     HttpClientResult result;
     result.requestSent = m_sendAttempts > 0;
-    if (code == CURLE_OK) {
+    if (isResponseComplete(code)) {
         return result;
     }
-    result.detail = curl_easy_strerror(code);
+    result.detail = code == CURLE_OK ? "the connection ended before the response did" : curl_easy_strerror(code);
     result.code = ResultCode::HttpTransferFailed;
     if (m_repeatPrevented) {
         result.code = ResultCode::RepeatPrevented;
@@ -397,10 +408,10 @@
             continue;
         }
         const auto transfer = found->second;
-        if (code == CURLE_OK) {
+        const HttpClientResult result = transfer->resultOf(code);
+        if (result.code == ResultCode::Ok) {
             transfer->deliverHead();
         }
-        const HttpClientResult result = transfer->resultOf(code);
         const auto handlers = transfer->m_handlers;
         remove(*transfer);
         transfer->clearHandlers();
--- a/unittests/net/httpclienttest.cpp
+++ b/unittests/net/httpclienttest.cpp
@@ -104,6 +104,10 @@
         {"truncated body", ok + "Content-Length: 4\r\n\r\nabc", ResultCode::HttpTransferFailed},
         {"truncated chunk", ok + "Transfer-Encoding: chunked\r\n\r\n4\r\nabc", ResultCode::HttpTransferFailed},
         {"missing last chunk", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n", ResultCode::HttpTransferFailed},
+        {"truncated chunk header", ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n1",
+         ResultCode::HttpTransferFailed},
+        {"truncated trailers",
+         ok + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\nX: ", ResultCode::HttpTransferFailed},
         {"no response", "", ResultCode::HttpTransferFailed},
         {"not HTTP", "abc abc abc\r\n\r\n", ResultCode::HttpTransferFailed},
         {"length is not a number", ok + "Content-Length: abc\r\n\r\nabc", ResultCode::HttpTransferFailed},
@@ -123,6 +127,25 @@
     }
 }
 
+TEST_F(HttpClientTest, HeadCutAtAnyByteIsNoResponse)
+{
+    const std::vector<std::string> heads = {
+        "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 404 Not Found\r\nX: y\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX: y\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nX: y\r\n\r\n",
+    };
+    for (const std::string &head : heads) {
+        for (std::size_t size = 0; size < head.size(); ++size) {
+            SCOPED_TRACE(head.substr(0, size));
+            const Outcome outcome = exchange(request(), std::string_view(head).substr(0, size));
+            EXPECT_EQ(outcome.result.code, ResultCode::HttpTransferFailed);
+            EXPECT_TRUE(outcome.result.requestSent);
+            EXPECT_EQ(outcome.status, 0U);
+        }
+    }
+}
+
 TEST_F(HttpClientTest, RefusesResponseWithTooManyHeaderBytes)
 {
     std::string response = "HTTP/1.1 200 OK\r\n";
