[net] A response of the store with two different lengths is not complete

Seen: of an answer with Content-Length 4 and then 3, or "3, 4", the first three bytes passed for the whole body.

Cause: libcurl takes the last Content-Length, or the start of the value, and reports CURLE_OK.

Fix: HttpClient fails a transfer whose response states different lengths and isn't chunked.

--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -43,6 +44,19 @@
     return std::strtoull(text->c_str(), nullptr, 10);
 }
 
+/// True if the headers state different lengths of one body, so that its end is unknown.
+bool hasConflictingLengths(const HttpHeaders &headers)
+{
+    const std::string *first = findHeader(headers, "Content-Length");
+    if (first == nullptr || findHeader(headers, "Transfer-Encoding") != nullptr) {
+        return false;
+    }
+    return first->find(',') != std::string::npos
+        || std::any_of(headers.begin(), headers.end(), [first](const HttpHeader &header) {
+               return equalHeaderNames(header.name, "Content-Length") && header.value != *first;
+           });
+}
+
 } // namespace
 
 /// Watches one of libcurl's sockets.
@@ -231,7 +245,7 @@
     constexpr long FirstFinalStatus = 200;
     long status = 0;
     curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
-    return code == CURLE_OK && m_headEnded && status >= FirstFinalStatus;
+    return code == CURLE_OK && m_headEnded && status >= FirstFinalStatus && !hasConflictingLengths(m_responseHeaders);
 }
 
 HttpClientResult HttpTransfer::resultOf(CURLcode code) const
@@ -241,7 +255,7 @@
     if (isResponseComplete(code)) {
         return result;
     }
-    result.detail = code == CURLE_OK ? "the connection ended before the response did" : curl_easy_strerror(code);
+    result.detail = code == CURLE_OK ? "the response is cut or states two lengths" : curl_easy_strerror(code);
     result.code = ResultCode::HttpTransferFailed;
     if (m_repeatPrevented) {
         result.code = ResultCode::RepeatPrevented;
