--- a/unittests/net/testpeer.h
+++ b/unittests/net/testpeer.h
@@ -95,6 +95,14 @@
         m_socket.close();
     }
 
+    /// Closes the connection with a reset.
+    void reset()
+    {
+        const linger immediately {1, 0};
+        ::setsockopt(m_socket.get(), SOL_SOCKET, SO_LINGER, &immediately, sizeof(immediately));
+        close();
+    }
+
 private:
     Descriptor m_socket;
     std::string m_received;
