[net] A response with a transfer encoding other than chunked is refused

Seen by callers: the encoded bytes as the body of a 200, framed as whole, if a target used a transfer encoding such as gzip, alone, with chunks or after them.

Cause: Beast ignores such an encoding, and with "chunked" not in the last place takes the chunk headers for the body. Transfer-Encoding concerns one connection and isn't passed on, so nothing told the caller.

Fix: ResponseParser fails such a response as it fails other bad framing; the outcome is unknown.

Evidence: CutResponseTest.BodyWithATransferEncodingIsNotPassedOnAsDecoded fails without the change in all of its four cases and passes with it; cutresponsetest 24 pass, targetclienttest 19 pass.

--- a/lib/net/responseparser.cpp
+++ b/lib/net/responseparser.cpp
@@ -9,6 +9,7 @@
 #endif
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace jasminemast
@@ -28,6 +29,15 @@
     return {text.data(), text.size()};
 }
 
+/// True if a body has a transfer encoding other than "chunked".
+bool hasOtherTransferEncoding(const HttpHeaders &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), [](const HttpHeader &header) {
+        return equalHeaderNames(header.name, "Transfer-Encoding") && !equalHeaderNames(header.value, "chunked")
+            && !equalHeaderNames(header.value, "identity");
+    });
+}
+
 [[noreturn]] void throwError(const ErrorCode &error)
 {
     const bool isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
@@ -72,11 +82,16 @@
         }
     }
 
-    void on_header_impl(ErrorCode & /*error*/) override
+    void on_header_impl(ErrorCode &error) override
     {
         if (isInterim()) {
             return;
         }
+        // The header is not passed on, so the body would be taken for decoded.
+        if (hasOtherTransferEncoding(m_headers)) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         const auto length = content_length();
         m_handlers.onHead(m_status, m_headers, length && !chunked() ? std::optional(*length) : std::nullopt);
     }
--- a/unittests/net/cutresponsetest.cpp
+++ b/unittests/net/cutresponsetest.cpp
@@ -156,6 +156,25 @@
     }
 }
 
+TEST_P(CutResponseTest, BodyWithATransferEncodingIsNotPassedOnAsDecoded)
+{
+    for (const std::string encoding : {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked"}) {
+        for (const std::string length : {"", "Content-Length: 3\r\n"}) {
+            expectIncomplete(Ok + "Transfer-Encoding: " + encoding + "\r\n" + length + "\r\n3\r\nabc\r\n0\r\n\r\n");
+        }
+    }
+}
+
+TEST_P(CutResponseTest, NamesOfTransferEncodingsIgnoreCase)
+{
+    const Outcome outcome = responseOf(Ok + "Transfer-Encoding: Chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n");
+    ASSERT_TRUE(outcome.result);
+    if (std::get<End>(GetParam()) == End::Orderly) {
+        EXPECT_EQ(outcome.result->code, ResultCode::Ok) << outcome.result->detail;
+        EXPECT_EQ(outcome.body, "abc");
+    }
+}
+
 INSTANTIATE_TEST_SUITE_P(Connections, CutResponseTest,
                          testing::Combine(testing::Bool(), testing::Values(End::Orderly, End::Reset)));
 
