[net] A body that breaks off is reset for a caller without chunks

Seen by callers that speak HTTP/1.0: a 200 whose body is short and looks whole, if a target's response without length broke off after it had begun, or the deadline came.

Cause: without length and chunks, the end of the connection ends the body, and HttpExchange::abort ended it in order.

Fix: abort resets such a connection, with connect(AF_UNSPEC): libmicrohttpd shuts down the sending side before it closes, so that a linger time of 0 would send FIN first. A request that has no response yet is not reset, since that means to a caller that nothing was read. Callers with HTTP/1.1 get chunks, also with Connection: close.

Evidence: HttpServerTest.AbortedBodyWithoutLengthIsResetForHttp10 fails without the change and passes with it.

--- a/include/jasminemast/net/httpexchange.h
+++ b/include/jasminemast/net/httpexchange.h
@@ -84,6 +84,8 @@
     void watchForDisconnect();
     void startResponse(unsigned status, const HttpHeaders &headers, std::optional<std::uint64_t> length);
     void resume();
+    /// Ends the connection at once; with a reset if the caller would take its orderly end for that of the body.
+    void closeConnection();
     void onReadableWhileSuspended();
     void queueResponse(unsigned status, const HttpHeaders &headers, MHD_Response *response);
     /// libmicrohttpd requests the next bytes of the body.
@@ -101,6 +103,8 @@
     bool m_responded = false;
     bool m_startPending = false; ///< beginBody() was called; the response starts later in this loop iteration
     bool m_responseStarted = false; ///< the response was passed to libmicrohttpd
+    bool m_takesChunks = true; ///< without chunks, the end of the connection ends a body of unknown length
+    bool m_endsWithConnection = false; ///< the end of the connection ends the body that was begun
     bool m_suspendedAtLastSweep = false; ///< was already suspended at the last sweep for disconnects
     BodyState m_bodyState = BodyState::None;
     std::string m_body; ///< the bytes from m_bodyOffset on are still to be sent
--- a/lib/net/httpexchange.cpp
+++ b/lib/net/httpexchange.cpp
@@ -140,6 +140,8 @@
         ? MHD_create_response_from_buffer(m_body.size(), m_body.data(), MHD_RESPMEM_MUST_COPY)
         : MHD_create_response_from_callback(length.value_or(MHD_SIZE_UNKNOWN), BodyBlockBytes,
                                             &HttpExchange::onReadBody, this, nullptr);
+    // A reset before any response would tell the caller that its request was not read.
+    m_endsWithConnection = m_bodyState != BodyState::Aborted && !isBodyComplete && !length && !m_takesChunks;
     queueResponse(status, headers, response);
 }
 
@@ -191,10 +193,24 @@
     if (!m_responded || (m_startPending && !m_responseStarted)) {
         startResponse(StatusBadGateway, {}, std::nullopt);
     }
-    ::shutdown(descriptorOf(m_connection), SHUT_RDWR);
+    closeConnection();
     resume();
 }
 
+void HttpExchange::closeConnection()
+{
+    const int descriptor = descriptorOf(m_connection);
+    if (!m_endsWithConnection) {
+        ::shutdown(descriptor, SHUT_RDWR);
+        return;
+    }
+    // libmicrohttpd shuts down the sending side before it closes the descriptor, so that SO_LINGER would come too late.
+    const sockaddr unspecified {AF_UNSPEC, {}};
+    if (::connect(descriptor, &unspecified, sizeof(unspecified)) != 0) {
+        ::shutdown(descriptor, SHUT_RDWR);
+    }
+}
+
 ssize_t HttpExchange::onReadBody(void *exchange, std::uint64_t /*position*/, char *buffer, std::size_t maxBytes)
 {
     return static_cast<HttpExchange *>(exchange)->readBody(buffer, maxBytes);
--- a/lib/net/httpserver.cpp
+++ b/lib/net/httpserver.cpp
@@ -98,12 +98,13 @@
     }
 
     static MHD_Result onRequest(void * /*server*/, MHD_Connection *connection, const char * /*url*/, const char *method,
-                                const char * /*version*/, const char *data, std::size_t *size, void **context)
+                                const char *version, const char *data, std::size_t *size, void **context)
     {
         const auto exchange = static_cast<HttpExchange *>(*context)->shared_from_this();
         HttpRequest &request = exchange->m_request;
         if (request.method.empty()) {
             request.method = method;
+            exchange->m_takesChunks = std::string_view(version) != MHD_HTTP_VERSION_1_0;
             MHD_get_connection_values(connection, MHD_HEADER_KIND, &appendHeader, &request.headers);
             checkHead(*exchange);
             return MHD_YES;
--- a/unittests/net/httpservertest.cpp
+++ b/unittests/net/httpservertest.cpp
@@ -300,6 +300,92 @@
     EXPECT_FALSE(peer.received("\r\n0\r\n"));
 }
 
+// HTTP/1.0 has no chunks: the end of the connection ends the body, and only a reset shows that it is incomplete.
+TEST_F(HttpServerTest, AbortedBodyWithoutLengthIsResetForHttp10)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {}, std::nullopt);
+        exchange->write("part");
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.0\r\nHost: a\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("part"); }));
+    EXPECT_FALSE(peer.isClosed());
+    open->abort();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed() && open->isOver(); }));
+    EXPECT_TRUE(peer.wasReset());
+}
+
+TEST_F(HttpServerTest, RequestAbortedBeforeItsResponseIsNotReset)
+{
+    for (const std::string version : {"1.0", "1.1"}) {
+        std::shared_ptr<HttpExchange> open;
+        start([&](const std::shared_ptr<HttpExchange> &exchange) { open = exchange; });
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write("GET / HTTP/" + version + "\r\nHost: a\r\n\r\n") > 0; });
+        ASSERT_TRUE(runUntil(m_loop, [&] { return open != nullptr; }));
+        open->abort();
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed() && open->isOver(); }));
+        EXPECT_FALSE(peer.wasReset());
+        m_server = nullptr;
+        m_address = testAddress();
+    }
+}
+
+// A caller that closes its connection after the response gets chunks all the same.
+TEST_F(HttpServerTest, AbortedBodyHasNoLastChunkIfTheCallerCloses)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {{"Connection", "close"}}, std::nullopt);
+        exchange->write("part");
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n") > 0; });
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("\r\n4\r\npart\r\n"); }));
+    open->abort();
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed() && open->isOver(); }));
+    EXPECT_FALSE(peer.received("\r\n0\r\n"));
+}
+
+TEST_F(HttpServerTest, AbortedBodyIsShorterThanItsLength)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {}, 8);
+        exchange->write("part");
+    });
+    for (const std::string version : {"1.0", "1.1"}) {
+        TestPeer peer(m_address);
+        runUntil(m_loop, [&] { return peer.write("GET / HTTP/" + version + "\r\nHost: a\r\n\r\n") > 0; });
+        ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("\r\n\r\npart"); }));
+        EXPECT_TRUE(peer.received("Content-Length: 8\r\n"));
+        open->abort();
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed() && open->isOver(); }));
+        EXPECT_TRUE(peer.read().ends_with("\r\n\r\npart"));
+    }
+}
+
+// What a target sent before it broke off may be less than the length that it stated.
+TEST_F(HttpServerTest, BodyThatIsFinishedTooEarlyDoesNotLookComplete)
+{
+    std::shared_ptr<HttpExchange> open;
+    start([&](const std::shared_ptr<HttpExchange> &exchange) {
+        open = exchange;
+        exchange->beginBody(200, {}, 8);
+        exchange->write("part");
+        exchange->finish();
+    });
+    TestPeer peer(m_address);
+    runUntil(m_loop, [&] { return peer.write("GET / HTTP/1.1\r\nHost: a\r\n\r\n") > 0; });
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed() && open->isOver(); }));
+    EXPECT_FALSE(peer.received("Content-Length: 4\r\n"));
+}
+
 TEST_F(HttpServerTest, HeadRequestGetsLengthWithoutBody)
 {
     std::shared_ptr<HttpExchange> open;
--- a/unittests/net/testpeer.h
+++ b/unittests/net/testpeer.h
@@ -74,6 +74,7 @@
         while ((size = ::recv(m_socket.get(), buffer, sizeof(buffer), 0)) > 0) {
             m_received.append(buffer, static_cast<std::size_t>(size));
         }
+        m_wasReset = m_wasReset || (size < 0 && errno == ECONNRESET);
         m_isClosed = m_isClosed || size == 0 || (errno != EAGAIN && errno != ENOTCONN);
         return m_received;
     }
@@ -90,6 +91,13 @@
         return m_isClosed;
     }
 
+    /// True once the peer has reset the connection.
+    bool wasReset()
+    {
+        read();
+        return m_wasReset;
+    }
+
     void close()
     {
         m_socket.close();
@@ -107,6 +115,7 @@
     Descriptor m_socket;
     std::string m_received;
     bool m_isClosed = false;
+    bool m_wasReset = false;
 };
 
 /// Accepts connections for TestPeer.
