[net] A cut head and the response that follows it are not read as one response

Seen by callers: 503 with Jasminemast-Outcome not-run for a request that its target had answered, or the target's answer with the status of an earlier response, when a target broke off in the head of a late copy and went on with the response.

Cause: the status line of the response ends the line that was cut, as a reason or as the value of a header, and the headers of both, with the id of the current request, form one head.

Fix: ResponseParser refuses a head with a status line within a reason or value; the outcome is unknown. Cuts at other places were refused before, or leave the id of the earlier request in the first place.

Evidence: RefusalTest.LateCopyCutInItsHeadIsNotJoinedWithTheResponse cuts the heads of seven copies at each byte.

--- a/lib/net/responseparser.cpp
+++ b/lib/net/responseparser.cpp
@@ -38,6 +38,16 @@
     });
 }
 
+/// True if \p text contains a status line, up to the status: the rest of a line that was cut is the next response then.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Pattern = "HTTP/1.# ###";
+    const auto matches = [](char c, char expected) {
+        return expected == '#' ? c >= '0' && c <= '9' : c == expected;
+    };
+    return std::search(text.begin(), text.end(), Pattern.begin(), Pattern.end(), matches) != text.end();
+}
+
 [[noreturn]] void throwError(const ErrorCode &error)
 {
     const bool isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
@@ -69,13 +79,20 @@
     {
     }
 
-    void on_response_impl(int status, Text /*reason*/, int /*version*/, ErrorCode & /*error*/) override
+    void on_response_impl(int status, Text reason, int /*version*/, ErrorCode &error) override
     {
         m_status = static_cast<unsigned>(status);
+        if (containsStatusLine(toView(reason))) {
+            error = http::error::bad_reason;
+        }
     }
 
-    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode & /*error*/) override
+    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode &error) override
     {
+        if (containsStatusLine(toView(value))) {
+            error = http::error::bad_value;
+            return;
+        }
         // Trailers, which follow the body, are dropped.
         if (!is_header_done()) {
             m_headers.push_back({std::string(toView(name)), std::string(toView(value))});
--- a/unittests/node/refusaltest.cpp
+++ b/unittests/node/refusaltest.cpp
@@ -338,3 +338,29 @@
     next.write(answer("same"));
     expectAnswered(attempt);
 }
+
+// The rest of a header line of the copy is then the status line of the response.
+TEST_F(RefusalTest, LateCopyCutInItsHeadIsNotJoinedWithTheResponse)
+{
+    std::vector<std::string> copies = refusals("first");
+    for (const std::string &copy : refusals("")) {
+        copies.push_back(copy);
+    }
+    copies.emplace_back("HTTP/1.1 500 Internal Server Error\r\nX-Seal: 1\r\nX-Id: first\r\nContent-Length: 0\r\n\r\n");
+    for (const std::string &copy : copies) {
+        for (std::size_t size = 0; size < copy.find("\r\n\r\n") + 4; ++size) {
+            SCOPED_TRACE(copy.substr(0, size));
+            TestPeer peer = makeIdleConnection("first", refusals("first").front());
+            const auto attempt = start("second");
+            awaitRequest(peer, "second");
+            peer.write(copy.substr(0, size) + answer("second"));
+            peer.close();
+            awaitEnd(attempt);
+            EXPECT_FALSE(isNotRun(attempt->result->code));
+            EXPECT_TRUE(attempt->result->requestSent);
+            if (attempt->result->code == ResultCode::Ok) {
+                expectAnswered(attempt);
+            }
+        }
+    }
+}
