--- a/include/jasminemast/net/targetclient.h
+++ b/include/jasminemast/net/targetclient.h
@@ -34,10 +34,14 @@
     Milliseconds timeout {10'000};
     Milliseconds connectTimeout {1'000};
     bool atMostOnce = false; ///< never send the request again after the target may have received it
-    /// Header that names the request; a response with another value under it is skipped. Empty: none is skipped.
+    /// Header that names the request. A response with another value under it is skipped, and on a connection that has
+    /// carried another request also one without it. Empty: none is skipped.
     std::string requestIdHeader;
 };
 
+/// The id of \p request; null if it has none.
+const std::string *requestId(const TargetClientRequest &request);
+
 struct TargetClientLimits
 {
     std::size_t maxIdleConnections = 100;
@@ -48,6 +52,7 @@
     Milliseconds keepAliveMargin {500}; ///< a connection is used until so long before the timeout that the target named
     /// A connection that is reset so soon after a request was sent was closed before the request arrived.
     Milliseconds staleResetTime {10};
+    std::size_t maxRequestsPerConnection = 1'000; ///< of those with an id: all ids are remembered
     unsigned maxForeignResponses = 8; ///< skipped while one response is awaited
     std::size_t maxForeignBytes = 1U << 20U; ///< size of their bodies
 };
--- a/lib/net/httpclient.cpp
+++ b/lib/net/httpclient.cpp
@@ -5,6 +5,7 @@
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
+#include <algorithm>
 #include <cstdlib>
 #include <utility>
 
@@ -43,6 +44,19 @@
     return std::strtoull(text->c_str(), nullptr, 10);
 }
 
+/// True if the headers state different lengths of one body, so that its end is unknown.
+bool hasConflictingLengths(const HttpHeaders &headers)
+{
+    const std::string *first = findHeader(headers, "Content-Length");
+    if (first == nullptr || findHeader(headers, "Transfer-Encoding") != nullptr) {
+        return false;
+    }
+    return first->find(',') != std::string::npos
+        || std::any_of(headers.begin(), headers.end(), [first](const HttpHeader &header) {
+               return equalHeaderNames(header.name, "Content-Length") && header.value != *first;
+           });
+}
+
 } // namespace
 
 /// Watches one of libcurl's sockets.
@@ -111,8 +125,10 @@
         }
         if (line.starts_with("HTTP/")) {
             transfer->m_responseHeaders.clear();
+            transfer->m_headEnded = false;
             return line.size();
         }
+        transfer->m_headEnded = transfer->m_headEnded || line == "\r\n" || line == "\n";
         const std::size_t colon = line.find(':');
         if (colon != std::string_view::npos) {
             transfer->m_responseHeaders.push_back(
@@ -223,14 +239,23 @@
     }
 }
 
+bool HttpTransfer::isResponseComplete(CURLcode code) const
+{
+    // libcurl takes a head that the end of the connection cuts for a complete response.
+    constexpr long FirstFinalStatus = 200;
+    long status = 0;
+    curl_easy_getinfo(m_easy, CURLINFO_RESPONSE_CODE, &status);
+    return code == CURLE_OK && m_headEnded && status >= FirstFinalStatus && !hasConflictingLengths(m_responseHeaders);
+}
+
 HttpClientResult HttpTransfer::resultOf(CURLcode code) const
 {
     HttpClientResult result;
     result.requestSent = m_sendAttempts > 0;
-    if (code == CURLE_OK) {
+    if (isResponseComplete(code)) {
         return result;
     }
-    result.detail = curl_easy_strerror(code);
+    result.detail = code == CURLE_OK ? "the response is cut or states two lengths" : curl_easy_strerror(code);
     result.code = ResultCode::HttpTransferFailed;
     if (m_repeatPrevented) {
         result.code = ResultCode::RepeatPrevented;
@@ -397,10 +422,10 @@
             continue;
         }
         const auto transfer = found->second;
-        if (code == CURLE_OK) {
+        const HttpClientResult result = transfer->resultOf(code);
+        if (result.code == ResultCode::Ok) {
             transfer->deliverHead();
         }
-        const HttpClientResult result = transfer->resultOf(code);
         const auto handlers = transfer->m_handlers;
         remove(*transfer);
         transfer->clearHandlers();
--- a/lib/net/responseparser.cpp
+++ b/lib/net/responseparser.cpp
@@ -9,6 +9,7 @@
 #endif
 #include <boost/beast/http/basic_parser.hpp>
 
+#include <algorithm>
 #include <limits>
 
 namespace jasminemast
@@ -28,6 +29,25 @@
     return {text.data(), text.size()};
 }
 
+/// True if a body has a transfer encoding other than "chunked".
+bool hasOtherTransferEncoding(const HttpHeaders &headers)
+{
+    return std::any_of(headers.begin(), headers.end(), [](const HttpHeader &header) {
+        return equalHeaderNames(header.name, "Transfer-Encoding") && !equalHeaderNames(header.value, "chunked")
+            && !equalHeaderNames(header.value, "identity");
+    });
+}
+
+/// True if \p text contains a status line, up to the status: the rest of a line that was cut is the next response then.
+bool containsStatusLine(std::string_view text)
+{
+    constexpr std::string_view Pattern = "HTTP/1.# ###";
+    const auto matches = [](char c, char expected) {
+        return expected == '#' ? c >= '0' && c <= '9' : c == expected;
+    };
+    return std::search(text.begin(), text.end(), Pattern.begin(), Pattern.end(), matches) != text.end();
+}
+
 [[noreturn]] void throwError(const ErrorCode &error)
 {
     const bool isTooLarge = error == http::error::header_limit || error == http::error::body_limit;
@@ -59,24 +79,36 @@
     {
     }
 
-    void on_response_impl(int status, Text /*reason*/, int /*version*/, ErrorCode & /*error*/) override
+    void on_response_impl(int status, Text reason, int /*version*/, ErrorCode &error) override
     {
         m_status = static_cast<unsigned>(status);
+        if (containsStatusLine(toView(reason))) {
+            error = http::error::bad_reason;
+        }
     }
 
-    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode & /*error*/) override
+    void on_field_impl(http::field /*field*/, Text name, Text value, ErrorCode &error) override
     {
+        if (containsStatusLine(toView(value))) {
+            error = http::error::bad_value;
+            return;
+        }
         // Trailers, which follow the body, are dropped.
         if (!is_header_done()) {
             m_headers.push_back({std::string(toView(name)), std::string(toView(value))});
         }
     }
 
-    void on_header_impl(ErrorCode & /*error*/) override
+    void on_header_impl(ErrorCode &error) override
     {
         if (isInterim()) {
             return;
         }
+        // The header is not passed on, so the body would be taken for decoded.
+        if (hasOtherTransferEncoding(m_headers)) {
+            error = http::error::bad_transfer_encoding;
+            return;
+        }
         const auto length = content_length();
         m_handlers.onHead(m_status, m_headers, length && !chunked() ? std::optional(*length) : std::nullopt);
     }
