[net] A request that was sent again is not called "not run" for the second time's sake

Seen by callers: 503 with Jasminemast-Outcome not-run for an idempotent request that may have run.

TargetConnection then forgot the first send: a refusal of the second, or a failed connection, meant not run. Calls that may not be repeated are sent again only if nothing was written, so they are not concerned.

Fix: the transfer keeps that the request was sent and tells that it may have arrived before; such a refusal becomes OutcomeUnknown.

--- a/include/jasminemast/net/targetclient.h
+++ b/include/jasminemast/net/targetclient.h
@@ -75,6 +75,12 @@
     /// Pause and continue reading the response.
     void pause();
     void unpause();
+    /// True if the request was sent again after a connection that may have carried it had ended: the response tells
+    /// only what became of it the second time.
+    [[nodiscard]] bool mayHaveArrivedBefore() const
+    {
+        return m_mayHaveArrivedBefore;
+    }
 
 private:
     friend class TargetClient;
@@ -91,6 +97,7 @@
     Timer m_deadline;
     bool m_requestSent = false;
     bool m_wasResent = false;
+    bool m_mayHaveArrivedBefore = false;
     bool m_paused = false;
     bool m_ended = false;
 };
--- a/lib/net/targetconnection.cpp
+++ b/lib/net/targetconnection.cpp
@@ -347,7 +347,7 @@
         m_transfer = nullptr;
         close();
         transfer->m_wasResent = true;
-        transfer->m_requestSent = false;
+        transfer->m_mayHaveArrivedBefore = transfer->m_requestSent;
         m_client.run(transfer, true);
         return;
     }
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -4,6 +4,7 @@
 #include "jasminemast/call/fence.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace jasminemast
 {
@@ -159,9 +160,10 @@
 
 void TargetAttempt::onDone(const HttpClientResult &result)
 {
-    m_transfer = nullptr;
+    const auto transfer = std::exchange(m_transfer, nullptr);
     if (result.code == ResultCode::Ok && m_responseError != ResultCode::Ok) {
-        m_onDone({m_responseError, "", true}, nullptr);
+        const bool mayHaveRun = transfer && transfer->mayHaveArrivedBefore();
+        m_onDone({mayHaveRun ? ResultCode::OutcomeUnknown : m_responseError, "", true}, nullptr);
         return;
     }
     m_onDone(result, result.code == ResultCode::Ok ? makeCachedResponse() : nullptr);
--- a/unittests/net/testpeer.h
+++ b/unittests/net/testpeer.h
@@ -141,6 +141,12 @@
         return Descriptor(::accept4(m_socket.get(), nullptr, nullptr, SOCK_NONBLOCK));
     }
 
+    /// Refuses further connections.
+    void close()
+    {
+        m_socket.close();
+    }
+
 private:
     Descriptor m_socket;
 };
--- a/unittests/node/refusaltest.cpp
+++ b/unittests/node/refusaltest.cpp
@@ -110,6 +110,13 @@
         return started;
     }
 
+    static TargetClientLimits limits()
+    {
+        TargetClientLimits limits;
+        limits.staleResetTime = 60'000ms;
+        return limits;
+    }
+
     void awaitRequest(TestPeer &peer, const std::string &id)
     {
         EXPECT_TRUE(runUntil(m_loop, [&] { return peer.received("X-Id: " + id + "\r\n"); }));
@@ -151,7 +158,7 @@
     SystemClock m_clock;
     SocketAddress m_address = testAddress();
     TestListener m_listener {m_address};
-    TargetClient m_http {m_loop, m_clock};
+    TargetClient m_http {m_loop, m_clock, limits()};
 };
 
 } // namespace
@@ -364,3 +371,35 @@
         }
     }
 }
+
+// The target may have taken the request on the kept connection before that ended.
+TEST_F(RefusalTest, RefusalAfterAResendLeavesTheOutcomeUnknown)
+{
+    for (const std::string &refusal : refusals("second")) {
+        SCOPED_TRACE(refusal);
+        TestPeer peer = makeIdleConnection("first", refusals("first").front());
+        const auto attempt = start("second", {}, true);
+        awaitRequest(peer, "second");
+        peer.close();
+        TestPeer next = acceptPeer(m_loop, m_listener);
+        awaitRequest(next, "second");
+        next.write(refusal);
+        next.close();
+        awaitEnd(attempt);
+        EXPECT_NE(attempt->result->code, ResultCode::Ok);
+        EXPECT_FALSE(isNotRun(attempt->result->code));
+        EXPECT_TRUE(attempt->result->requestSent);
+    }
+}
+
+TEST_F(RefusalTest, FailedConnectionAfterAResendLeavesTheOutcomeUnknown)
+{
+    TestPeer peer = makeIdleConnection("first", refusals("first").front());
+    const auto attempt = start("second", {}, true);
+    awaitRequest(peer, "second");
+    m_listener.close();
+    peer.close();
+    awaitEnd(attempt);
+    EXPECT_FALSE(isNotRun(attempt->result->code));
+    EXPECT_TRUE(attempt->result->requestSent);
+}
