--- a/review/standins/scenario-memory.cpp
+++ b/review/standins/scenario-memory.cpp
@@ -47,9 +47,11 @@
         Node a(root, folder, ipA, "jy-aarhus", "statusbord", ports, storeAddress, zones, record);
         Node b(root, folder, ipB, "jy-aarhus", "bookingbaenk", ports, storeAddress, zones, record);
         Server server(b.app(), "i-booking", 290, record);
-        store.put("op/config", configuration(1, {{"r-1", "bench.example", "/solder/", "non_idempotent", "bookingbaenk", 1'500}},
-                                             {"statusbord", "bookingbaenk"}));
-        store.put("servers/i-booking", serverEntry(b.app(), "bookingbaenk", "jy-aarhus", "ready", 1, 1'790'000'000'000));
+        store.put("op/config",
+                  configuration(1, {{"r-1", "bench.example", "/solder/", "non_idempotent", "bookingbaenk", 1'500}},
+                                {"statusbord", "bookingbaenk"}));
+        store.put("servers/i-booking",
+                  serverEntry(b.app(), "bookingbaenk", "jy-aarhus", "ready", 1, 1'790'000'000'000));
         a.start();
         b.start();
         a.waitUntilReady();
@@ -98,8 +100,9 @@
                     const Answer answer = call(*connection, "POST", "bench.example", "/solder/job", id, DeadlineMs,
                                                std::string(4'000, 'b'));
                     ++sentOnConnection;
-                    record.add("client gets " + (answer.status == 0 ? "no answer, closed" : std::to_string(answer.status))
-                               + " to " + id);
+                    record.add("client gets "
+                               + (answer.status == 0 ? "no answer, closed" : std::to_string(answer.status)) + " to "
+                               + id);
                     if (answer.status != 0) {
                         ++results[i].answered;
                     } else if (sentOnConnection > 1) {
@@ -120,7 +123,8 @@
                     record.add("client sends upload-1 with " + std::to_string(UploadBytes) + " bytes");
                     const Answer answer = call(*connection, "POST", "bench.example", "/solder/drawing", "upload-1",
                                                DeadlineMs, std::string(UploadBytes, 'u'));
-                    record.add("client gets " + (answer.status == 0 ? "no answer, closed" : std::to_string(answer.status))
+                    record.add("client gets "
+                               + (answer.status == 0 ? "no answer, closed" : std::to_string(answer.status))
                                + " to upload-1");
                 }
             }).join();
@@ -145,10 +149,10 @@
             }
         }
         const bool isBroken = lost > AllowedLost;
-        const std::string summary = "trouble " + std::string(isTrouble ? "1" : "0") + ", answered " + std::to_string(answered)
-            + ", run by the server and closed without an answer " + std::to_string(lost) + " (allowed "
-            + std::to_string(AllowedLost) + "), processes over memory-mb " + std::to_string(kills) + ", peak "
-            + std::to_string(peak) + " MB: " + (isBroken ? "LOST broken" : "held");
+        const std::string summary = "trouble " + std::string(isTrouble ? "1" : "0") + ", answered "
+            + std::to_string(answered) + ", run by the server and closed without an answer " + std::to_string(lost)
+            + " (allowed " + std::to_string(AllowedLost) + "), processes over memory-mb " + std::to_string(kills)
+            + ", peak " + std::to_string(peak) + " MB: " + (isBroken ? "LOST broken" : "held");
         record.add(summary);
         std::cout << summary << std::endl;
         a.kill();
--- a/review/standins/scenario-restart.cpp
+++ b/review/standins/scenario-restart.cpp
@@ -44,12 +44,13 @@
         Node a(root, folder, ipA, "jy-aarhus", "statusbord", ports, storeAddress, zones, record);
         Node b(root, folder, ipB, "jy-aarhus", service, ports, storeAddress, zones, record);
         Node c(root, folder, ipC, "jy-aarhus", service, ports, storeAddress, zones, record);
-        const auto put = [&](const Node &node, const std::string &id, const std::string &state, int seq,
-                             std::int64_t born) {
-            store.put("servers/" + id, serverEntry(node.app(), service, node.zone(), state, seq, born));
-        };
-        store.put("op/config", configuration(1, {{"r-1", "bench.example", "/solder/", "non_idempotent", service, 1'500}},
-                                             {"statusbord", service}));
+        const auto put
+            = [&](const Node &node, const std::string &id, const std::string &state, int seq, std::int64_t born) {
+                  store.put("servers/" + id, serverEntry(node.app(), service, node.zone(), state, seq, born));
+              };
+        store.put("op/config",
+                  configuration(1, {{"r-1", "bench.example", "/solder/", "non_idempotent", service, 1'500}},
+                                {"statusbord", service}));
         Server other(c.app(), "i-other", WorkMs, record);
         put(c, "i-other", "ready", 1, trueTime() - 60'000);
         a.start();
@@ -116,9 +117,11 @@
         }
         const bool isBroken = late > 0;
         const std::string summary = "trouble " + std::string(isTrouble ? "1" : "0") + ", run before the report "
-            + std::to_string(before) + ", requests that reached the server later than 2500 ms after the store had "
-            "acknowledged that it is draining: " + std::to_string(late) + ", the last after "
-            + std::to_string(static_cast<int>(latest)) + " ms: " + (isBroken ? "DRAIN broken" : "held");
+            + std::to_string(before)
+            + ", requests that reached the server later than 2500 ms after the store had "
+              "acknowledged that it is draining: "
+            + std::to_string(late) + ", the last after " + std::to_string(static_cast<int>(latest))
+            + " ms: " + (isBroken ? "DRAIN broken" : "held");
         record.add(summary);
         std::cout << summary << std::endl;
         a.kill();
--- a/review/standins/standins.cpp
+++ b/review/standins/standins.cpp
@@ -39,7 +39,8 @@
     const int on = 1;
     ::setsockopt(socket, SOL_SOCKET, SO_REUSEADDR, &on, sizeof(on));
     const sockaddr_in system = systemAddress(address);
-    if (::bind(socket, reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0 || ::listen(socket, 512) != 0) {
+    if (::bind(socket, reinterpret_cast<const sockaddr *>(&system), sizeof(system)) != 0
+        || ::listen(socket, 512) != 0) {
         ::close(socket);
         return -1;
     }
@@ -354,8 +355,8 @@
 std::string Store::itemJson(const Event &event)
 {
     const std::string start = "{\"key\":\"" + event.key + "\",\"rev\":" + std::to_string(event.revision);
-    return event.value ? start + ",\"create-revision\":" + std::to_string(event.revision)
-               + ",\"lease\":0,\"value\":\"" + base64(*event.value) + "\"}"
+    return event.value ? start + ",\"create-revision\":" + std::to_string(event.revision) + ",\"lease\":0,\"value\":\""
+            + base64(*event.value) + "\"}"
                        : start + ",\"removed\":true}";
 }
 
@@ -434,8 +435,8 @@
         }
         const std::string id = headers.get("x-request-id");
         if (headers.get("x-expect-instance") != m_id) {
-            connection.send("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id
-                            + "\r\nX-Instance-Id: " + m_id + "\r\nContent-Length: 0\r\n\r\n");
+            connection.send("HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: " + id + "\r\nX-Instance-Id: " + m_id
+                            + "\r\nContent-Length: 0\r\n\r\n");
             continue;
         }
         {
