--- a/review/standins/scenario-reader.cpp
+++ b/review/standins/scenario-reader.cpp
@@ -26,7 +26,7 @@
     const std::string root = argv[1];
     const std::string folder = argv[2];
     const bool isTrouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
-    constexpr int Machines = 3;
+    constexpr int Machines = 4; // one of them is cut off, one server leaves: a quarter each
     Record record(argv[3]);
     try {
         const std::string network = freeNetwork();
--- a/review/standins/scenario-rejoin.cpp
+++ b/review/standins/scenario-rejoin.cpp
@@ -32,7 +32,7 @@
     const std::string root = argv[1];
     const std::string folder = argv[2];
     const bool isTrouble = std::getenv("TROUBLE") == nullptr || std::string(std::getenv("TROUBLE")) != "0";
-    constexpr int Machines = 3; // two in the zone brescia, one in lecco
+    constexpr int Machines = 4; // two in each zone: one is cut off, one is lost
     Record record(argv[3]);
     try {
         const std::string network = freeNetwork();
--- a/review/standins/scenario-restart.cpp
+++ b/review/standins/scenario-restart.cpp
@@ -15,6 +15,7 @@
 constexpr double DrainMs = 2'500;
 constexpr double ServesLongerMs = 3'000; // "and a little longer (at times many seconds)"
 constexpr double WorkMs = 40;
+constexpr int Others = 7; // one server of eight crashes, the clock of one machine of nine steps
 
 std::int64_t trueTime()
 {
@@ -35,7 +36,7 @@
     Record record(argv[3]);
     try {
         const std::string network = freeNetwork();
-        const std::string ipStore = network + "1", ipA = network + "2", ipB = network + "3", ipC = network + "4";
+        const std::string ipStore = network + "1", ipA = network + "2", ipB = network + "3";
         const Address storeAddress {ipStore, freePorts(ipStore, 1)[0]};
         const std::vector<int> ports = freePorts(ipA, 4); // the same on all machines
         const std::map<std::string, std::string> zones = {{"jy-aarhus", "jylland"}};
@@ -43,7 +44,11 @@
         Store store(storeAddress, record);
         Node a(root, folder, ipA, "jy-aarhus", "statusbord", ports, storeAddress, zones, record);
         Node b(root, folder, ipB, "jy-aarhus", service, ports, storeAddress, zones, record);
-        Node c(root, folder, ipC, "jy-aarhus", service, ports, storeAddress, zones, record);
+        std::vector<std::unique_ptr<Node>> others;
+        for (int i = 0; i < Others; ++i) {
+            others.push_back(std::make_unique<Node>(root, folder, network + std::to_string(4 + i), "jy-aarhus", service,
+                                                    ports, storeAddress, zones, record));
+        }
         const auto put
             = [&](const Node &node, const std::string &id, const std::string &state, int seq, std::int64_t born) {
                   store.put("servers/" + id, serverEntry(node.app(), service, node.zone(), state, seq, born));
@@ -51,18 +56,26 @@
         store.put("op/config",
                   configuration(1, {{"r-1", "bench.example", "/solder/", "non_idempotent", service, 1'500}},
                                 {"statusbord", service}));
-        Server other(c.app(), "i-other", WorkMs, record);
-        put(c, "i-other", "ready", 1, trueTime() - 60'000);
+        std::vector<std::unique_ptr<Server>> otherServers;
+        for (int i = 0; i < Others; ++i) {
+            const std::string id = "i-other-" + std::to_string(i);
+            otherServers.push_back(std::make_unique<Server>(others[i]->app(), id, WorkMs, record));
+            put(*others[i], id, "ready", 1, trueTime() - 60'000);
+        }
         a.start();
         b.start();
-        c.start();
+        for (const auto &node : others) {
+            node->start();
+        }
         a.waitUntilReady();
         b.waitUntilReady();
-        c.waitUntilReady();
+        for (const auto &node : others) {
+            node->waitUntilReady();
+        }
 
         std::atomic<bool> stop {false};
         std::vector<std::thread> clients;
-        for (int i = 0; i < 4; ++i) {
+        for (int i = 0; i < 24; ++i) {
             clients.emplace_back([&, i] {
                 std::unique_ptr<Connection> connection;
                 for (int n = 0; !stop; ++n) {
@@ -99,7 +112,7 @@
         seq = 0;
         put(b, "i-restarted", "ready", ++seq, born);
         // All machines are calm for longer than stable-window-ms.
-        sleepMs(6'000);
+        sleepMs(10'000);
         const std::size_t before = second.runs().size();
         put(b, "i-restarted", "draining", seq + 4, born);
         const double acknowledged = nowMs();
@@ -126,9 +139,10 @@
         std::cout << summary << std::endl;
         a.kill();
         b.kill();
-        c.kill();
+        for (const auto &node : others) {
+            node->kill();
+        }
         second.end();
-        other.end();
         std::quick_exit(before == 0 ? 2 : (isBroken ? 1 : 0));
     } catch (const CannotRun &error) {
         record.add("cannot run: " + error.reason);
--- a/review/standins/standins.h
+++ b/review/standins/standins.h
@@ -9,6 +9,7 @@
 #include <fstream>
 #include <functional>
 #include <map>
+#include <memory>
 #include <mutex>
 #include <optional>
 #include <string>
