[registry] ReadSchedule: where and when a node reads, without I/O

RegistryTask decided between the registry, its peers and waiting in the middle of its timers and callbacks, so that only real links and real time could test it. The decisions move unchanged into ReadSchedule (lib/registry); RegistryTask keeps the timers, the client and the frames. No behavior changes: registrytasktest, registryfollowertest, synctest and upstreamselectortest pass as they are.

--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -1,11 +1,10 @@
-// Control plane for a platform with a registry: connects RegistryFollower to timers, the registry client and peers.
+// Control plane for a platform with a registry: connects ReadSchedule to timers, the registry client and peers.
 #pragma once
 
 #include "jasminemast/node/controlplane.h"
 #include "jasminemast/node/registrypeers.h"
 #include "jasminemast/node/ticketwaiters.h"
-#include "jasminemast/registry/registryfollower.h"
-#include "jasminemast/registry/upstreamselector.h"
+#include "jasminemast/registry/readschedule.h"
 
 #include <map>
 #include <memory>
@@ -54,28 +53,23 @@
     [[nodiscard]] nlohmann::json upstream(TimePoint now) const override;
     [[nodiscard]] Duration recordsAge(TimePoint now) const override
     {
-        return now - m_confirmedAt;
+        return now - m_reads.confirmedAt();
     }
     [[nodiscard]] nlohmann::json zones(TimePoint now) const override;
 
 private:
     void startNextRequest();
-    void requestFromPeer(const HostId &host);
-    void requestFromRegistry(const RegistryAction &action);
+    void askPeer(const readaction::AskPeer &action);
+    void listRegistry(const std::string &after);
+    void watchRegistry(const registryaction::Watch &watch);
     /// Reads a page of targets, in which a node that has just started finds its peers.
-    void discoverPeers();
-    void onPeersDiscovered();
+    void discoverPeers(const std::string &after);
     void onResponse(RegistryResponse response);
     void onPeerReply(const HostId &host, const std::optional<SyncReply> &reply);
-    void applyReply(const HostId &host, const SyncReply &reply);
     void onNextRequestTimer();
-    /// True if the records are so old that this node is to read the registry itself.
-    [[nodiscard]] bool areRecordsOld(TimePoint now) const;
-    [[nodiscard]] Duration maxAge() const;
     void setUpstream(const std::optional<HostId> &host);
-    /// Passes changed records on and takes over the hosts of the fleet.
+    /// Passes changed records on to peers.
     void passOn();
-    [[nodiscard]] RegistryPeer peerOf(const RegisteredTarget &target) const;
     /// Puts a new state in force if the follower's records have changed.
     void publish();
     void publishRoutes(State &state);
@@ -90,25 +84,18 @@
     SourceFactory m_makeSource;
     std::string m_address; ///< registry that m_source reads
     std::unique_ptr<RegistrySource> m_source; ///< never null
-    RegistryFollower m_follower;
-    UpstreamSelector m_upstreams;
+    ReadSchedule m_reads;
     RegistryPeers m_peers;
     std::optional<HostId> m_upstream; ///< where the records were last requested; nothing: the registry
-    std::vector<RegistryPeer> m_discovered;
-    std::string m_discoverAfter; ///< where the next page of discoverPeers() starts
-    TimePoint m_discoverAt; ///< earliest time of the next page
-    bool m_isDiscovering = true;
     bool m_isPeerRequest = false; ///< the request in progress goes to a peer
-    TimePoint m_peerRequestedAt;
-    TimePoint m_confirmedAt; ///< when the registry last confirmed the records
-    std::uint64_t m_passedOnChanges = 0; ///< value of m_follower.changes() that peers were told about
+    std::uint64_t m_passedOnChanges = 0; ///< value of RegistryFollower::changes() that peers were told about
     bool m_passedOnListing = false;
     Logbook m_logbook;
     TicketWaiters m_waiters;
     Timer m_nextRequestTimer;
     Timer m_expiryTimer;
     StatePtr m_state; ///< never null
-    std::uint64_t m_publishedChanges = 0; ///< value of m_follower.changes() that m_state reflects
+    std::uint64_t m_publishedChanges = 0; ///< value of RegistryFollower::changes() that m_state reflects
     std::map<HostId, HostView> m_hosts;
     bool m_requestPending = false; ///< a request of m_source is in progress
     bool m_sourceDown = false;
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -70,6 +70,11 @@
 
     /// The next action. Ask only when no call is pending.
     [[nodiscard]] RegistryAction next(TimePoint now) const;
+    /// Until then next() returns Wait.
+    [[nodiscard]] TimePoint nextCallAt() const
+    {
+        return m_nextCallAt;
+    }
     /// Handles the response to the last List or Watch.
     void onResponse(RegistryResponse response, TimePoint now);
     /// Removes targets that did not register again within reregistrationGrace after an outage.
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -14,23 +14,7 @@
 constexpr std::size_t MaxLogbookEntries = 1'000; // fits into one response of /v1/tickets
 /// How often removed targets are checked for expiry; short compared with their grace period.
 constexpr Milliseconds ExpiryInterval {250};
-/// How long a peer may wait for changes, and when a reply is overdue.
-constexpr Milliseconds PeerWait {500};
 constexpr Milliseconds PeerTimeout {1'000};
-/// Delay after a reply that came early and held nothing new.
-constexpr Milliseconds PeerRepeatDelay {250};
-/// Age from which records are read at another node. A reader confirms them about every 1.4 s.
-constexpr Milliseconds MaxPeerAge {1'900};
-/// The first nodes of a zone turn to the registry before the others, who can then read at them.
-constexpr Milliseconds AgePerRank {100};
-constexpr std::size_t MaxAgeRanks = 4;
-/// How often a node whose own target has not registered looks for peers.
-constexpr Milliseconds DiscoveryInterval {400};
-constexpr Milliseconds FailedPeerExclusion {1'000};
-constexpr Milliseconds OldPeerExclusion {100};
-/// During a long outage of the registry peers are asked less often.
-constexpr Milliseconds OutageAge {4'000};
-constexpr Milliseconds OutagePeerExclusion {300};
 
 RegionId regionOf(const NodeSettings &settings, const ZoneId &zone)
 {
@@ -47,15 +31,16 @@
     , m_makeSource(std::move(makeSource))
     , m_address(context.settings.registry.address)
     , m_source(m_makeSource(m_address))
-    , m_upstreams({context.settings.self.host, context.settings.self.zone,
-                   regionOf(context.settings, context.settings.self.zone)})
-    , m_peers(context.loop, context.clock, context.links, m_follower, [this] { return m_confirmedAt; })
+    , m_reads({context.settings.self.host, context.settings.self.zone,
+               regionOf(context.settings, context.settings.self.zone)},
+              [this](const ZoneId &zone) { return regionOf(m_settings, zone); })
+    , m_peers(context.loop, context.clock, context.links, m_reads.follower(), [this] { return m_reads.confirmedAt(); })
     , m_logbook(MaxLogbookEntries)
     , m_waiters(context.loop, context.clock)
     , m_nextRequestTimer(context.loop, [this] { onNextRequestTimer(); })
     , m_expiryTimer(context.loop,
                     [this] {
-                        m_follower.expire(m_clock.now());
+                        m_reads.expire(m_clock.now());
                         passOn();
                         publish();
                     })
@@ -65,7 +50,7 @@
 
 void RegistryTask::start()
 {
-    m_confirmedAt = m_clock.now();
+    m_reads.start(m_clock.now());
     m_expiryTimer.startRepeating(ExpiryInterval);
     startNextRequest();
 }
@@ -85,7 +70,7 @@
     m_source = m_makeSource(m_address);
     m_peers.cancel();
     m_requestPending = false;
-    m_follower.refresh(m_clock.now());
+    m_reads.onRegistryChanged(m_clock.now());
     startNextRequest();
 }
 
@@ -96,7 +81,7 @@
     m_source->cancel();
     m_peers.cancel();
     m_requestPending = false;
-    m_confirmedAt = m_clock.now() - maxAge();
+    m_reads.onPause(m_clock.now());
     startNextRequest();
 }
 
@@ -132,19 +117,19 @@
 
 Readiness RegistryTask::readiness() const
 {
-    const bool hasConfiguration = m_follower.isListed() && m_follower.configuration() != nullptr;
+    const bool hasConfiguration = m_reads.follower().isListed() && m_reads.follower().configuration() != nullptr;
     return hasConfiguration && !m_draining ? Readiness::Ready : Readiness::Joining;
 }
 
 nlohmann::json RegistryTask::upstream(TimePoint now) const
 {
     auto candidates = nlohmann::json::array();
-    for (const HostId &host : m_upstreams.candidates()) {
+    for (const HostId &host : m_reads.upstreams().candidates()) {
         candidates.push_back(host.value());
     }
     return {{"readsAt", m_upstream ? m_upstream->value() : "registry"},
             {"candidates", std::move(candidates)},
-            {"rank", m_upstreams.rank()},
+            {"rank", m_reads.upstreams().rank()},
             {"ageMs", std::chrono::duration_cast<Milliseconds>(recordsAge(now)).count()}};
 }
 
@@ -154,60 +139,33 @@
     return nlohmann::json::array();
 }
 
-Duration RegistryTask::maxAge() const
-{
-    return MaxPeerAge + AgePerRank * std::min(m_upstreams.rank(), MaxAgeRanks);
-}
-
-bool RegistryTask::areRecordsOld(TimePoint now) const
-{
-    return now - m_confirmedAt >= maxAge();
-}
-
 void RegistryTask::startNextRequest()
 {
     if (m_requestPending) {
         return;
     }
-    const TimePoint now = m_clock.now();
-    m_follower.setStandby(!m_upstreams.candidates().empty());
-    const RegistryAction action = m_follower.next(now);
-    const auto *wait = std::get_if<registryaction::Wait>(&action);
-    if (wait == nullptr && areRecordsOld(now)) {
-        requestFromRegistry(action);
-        return;
-    }
-    if (const auto host = m_upstreams.choose(now)) {
-        requestFromPeer(*host);
-        return;
-    }
-    const auto fallback = wait != nullptr && areRecordsOld(now) ? m_upstreams.chooseFallback(now) : std::nullopt;
-    if (fallback) {
-        requestFromPeer(*fallback);
-        return;
-    }
-    if (wait != nullptr) {
-        m_nextRequestTimer.start(std::min(wait->until, m_upstreams.nextAvailable(now)) - now);
-        return;
-    }
-    if (!m_isDiscovering) {
-        requestFromRegistry(action);
-    } else if (now < m_discoverAt) {
-        m_nextRequestTimer.start(std::min(m_discoverAt, m_upstreams.nextAvailable(now)) - now);
-    } else {
-        discoverPeers();
-    }
+    const ReadAction action = m_reads.next(m_clock.now());
+    std::visit(
+        [this](const auto &concrete) {
+            using Action = std::decay_t<decltype(concrete)>;
+            if constexpr (std::is_same_v<Action, registryaction::Wait>) {
+                m_nextRequestTimer.start(concrete.until - m_clock.now());
+            } else if constexpr (std::is_same_v<Action, readaction::AskPeer>) {
+                askPeer(concrete);
+            } else if constexpr (std::is_same_v<Action, readaction::DiscoverPeers>) {
+                discoverPeers(concrete.after);
+            } else if constexpr (std::is_same_v<Action, registryaction::List>) {
+                listRegistry(concrete.after);
+            } else {
+                watchRegistry(concrete);
+            }
+        },
+        action);
 }
 
 void RegistryTask::onNextRequestTimer()
 {
-    const TimePoint now = m_clock.now();
-    const RegistryAction action = m_follower.next(now);
     if (m_requestPending && m_isPeerRequest) {
-        if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
-            m_nextRequestTimer.start(wait->until - now);
-            return;
-        }
         m_peers.cancel();
         m_requestPending = false;
     }
@@ -220,170 +178,83 @@
         return;
     }
     m_upstream = host;
-    const auto age = std::chrono::duration_cast<Milliseconds>(m_clock.now() - m_confirmedAt);
+    const auto age = std::chrono::duration_cast<Milliseconds>(recordsAge(m_clock.now()));
     logEvent(Event::UpstreamChanged,
              {{"upstream", host ? host->value() : "registry"},
-              {"rank", std::to_string(m_upstreams.rank())},
+              {"rank", std::to_string(m_reads.upstreams().rank())},
               {"ageMs", std::to_string(age.count())}});
 }
 
-void RegistryTask::requestFromPeer(const HostId &host)
+void RegistryTask::askPeer(const readaction::AskPeer &action)
 {
-    setUpstream(host);
+    setUpstream(action.host);
     m_requestPending = true;
     m_isPeerRequest = true;
-    SyncRequest request;
-    request.isListed = m_follower.isListed();
-    request.number = m_follower.configuration() ? m_follower.configuration()->number : TicketNumber(0);
-    request.revision = m_follower.settledRevision();
-    request.targetsDigest = m_follower.targetsDigest();
-    request.waitMs = m_isDiscovering ? 0 : static_cast<std::uint32_t>(PeerWait.count());
-    const TimePoint now = m_clock.now();
-    m_peerRequestedAt = now;
-    // Stops waiting for the peer once the records are old.
-    m_nextRequestTimer.start(std::max(Duration(0), m_confirmedAt + maxAge() - now));
-    m_peers.request(host, SocketAddress {host.value(), m_settings.linkPort}, request, PeerTimeout,
-                    [this, host](const std::optional<SyncReply> &reply) { onPeerReply(host, reply); });
+    m_nextRequestTimer.start(action.giveUpAt - m_clock.now());
+    m_peers.request(action.host, SocketAddress {action.host.value(), m_settings.linkPort}, action.request, PeerTimeout,
+                    [this, host = action.host](const std::optional<SyncReply> &reply) { onPeerReply(host, reply); });
 }
 
 void RegistryTask::onPeerReply(const HostId &host, const std::optional<SyncReply> &reply)
 {
     m_requestPending = false;
-    const TimePoint now = m_clock.now();
-    if (reply && reply->status == SyncStatus::Ok) {
-        const std::uint64_t changes = m_follower.changes();
-        applyReply(host, *reply);
-        if (m_follower.changes() == changes && now - m_peerRequestedAt < PeerWait / 2) {
-            // The peer has too many waiting requests to hold another one.
-            m_nextRequestTimer.start(PeerRepeatDelay);
-            return;
-        }
-    } else if (reply && reply->status == SyncStatus::NotListed && !m_isDiscovering) {
-        m_upstreams.exclude(host, now + OldPeerExclusion);
-    } else {
-        m_upstreams.exclude(host, now + FailedPeerExclusion);
-    }
-    startNextRequest();
-}
-
-void RegistryTask::applyReply(const HostId &host, const SyncReply &reply)
-{
-    const TimePoint now = m_clock.now();
-    try {
-        const SyncContent content = decodeSyncContent(reply.content);
-        const bool fits = m_follower.applyContent(content, now);
-        // One of the two nodes is behind, or ignored a report: asking again would lead to the same.
-        const bool disagrees = content.hasAllTargets && content.targetsDigest != m_follower.targetsDigest();
-        if (!fits || disagrees) {
-            m_upstreams.exclude(host, now + FailedPeerExclusion);
-        }
-    } catch (const ResultError &error) {
-        m_metrics.count(Counter::InputRefused, error.code());
-        m_upstreams.exclude(host, now + FailedPeerExclusion);
-        return;
-    }
-    m_isDiscovering = m_isDiscovering && !m_follower.isListed();
-    m_confirmedAt = std::max(m_confirmedAt, now - Milliseconds(reply.ageMs));
-    if (Milliseconds(reply.ageMs) >= MaxPeerAge) {
-        const bool isOutage = now - m_confirmedAt >= OutageAge;
-        m_upstreams.exclude(host, now + (isOutage ? OutagePeerExclusion : OldPeerExclusion));
+    const ResultCode code = m_reads.onPeerReply(host, reply, m_clock.now());
+    if (code != ResultCode::Ok) {
+        m_metrics.count(Counter::InputRefused, code);
     }
     passOn();
     publish();
+    startNextRequest();
 }
 
-void RegistryTask::discoverPeers()
+void RegistryTask::discoverPeers(const std::string &after)
 {
     m_requestPending = true;
     m_isPeerRequest = false;
-    m_source->listTargets(m_discoverAfter, [this](RegistryResponse response) {
+    m_source->listTargets(after, [this](RegistryResponse response) {
         m_requestPending = false;
         updateSourceStatus(response.code, response.detail);
-        if (response.code != ResultCode::Ok) {
-            m_follower.onResponse(std::move(response), m_clock.now());
-            startNextRequest();
-            return;
-        }
-        for (const RegistryRecord &record : response.records) {
-            if (const auto *target = std::get_if<RegisteredTarget>(&record)) {
-                m_discovered.push_back(peerOf(*target));
-            }
-        }
-        m_upstreams.setPeers(m_discovered);
-        m_discoverAfter = response.next;
-        if (m_discoverAfter.empty()) {
-            onPeersDiscovered();
-        }
+        m_reads.onDiscovered(std::move(response), m_clock.now());
         startNextRequest();
     });
 }
 
-void RegistryTask::onPeersDiscovered()
+void RegistryTask::listRegistry(const std::string &after)
 {
-    const TimePoint now = m_clock.now();
-    const bool isSelfListed = std::any_of(m_discovered.begin(), m_discovered.end(), [this](const RegistryPeer &peer) {
-        return peer.host == m_settings.self.host;
-    });
-    m_isDiscovering = !isSelfListed && !areRecordsOld(now);
-    // The target of this node starts together with those of its peers: none of them may have registered yet.
-    m_discoverAt = now + DiscoveryInterval;
-    m_discovered.clear();
+    setUpstream(std::nullopt);
+    m_requestPending = true;
+    m_isPeerRequest = false;
+    m_source->list(after, [this](RegistryResponse response) { onResponse(std::move(response)); });
 }
 
-void RegistryTask::requestFromRegistry(const RegistryAction &action)
+void RegistryTask::watchRegistry(const registryaction::Watch &watch)
 {
     setUpstream(std::nullopt);
     m_requestPending = true;
     m_isPeerRequest = false;
-    const auto handler = [this](RegistryResponse response) {
-        m_requestPending = false;
-        onResponse(std::move(response));
-    };
-    if (const auto *list = std::get_if<registryaction::List>(&action)) {
-        m_source->list(list->after, handler);
-        return;
-    }
-    const auto &watch = std::get<registryaction::Watch>(action);
-    m_source->watch(watch.revision, watch.wait, handler);
+    m_source->watch(watch.revision, watch.wait, [this](RegistryResponse response) { onResponse(std::move(response)); });
 }
 
 void RegistryTask::onResponse(RegistryResponse response)
 {
+    m_requestPending = false;
     updateSourceStatus(response.code, response.detail);
-    const bool isConfirmed = response.code == ResultCode::Ok;
-    m_follower.onResponse(std::move(response), m_clock.now());
-    if (isConfirmed && m_follower.isListed()) {
-        m_confirmedAt = m_clock.now();
-        m_isDiscovering = false;
-    }
+    m_reads.onResponse(std::move(response), m_clock.now());
     logInvalidRecords();
     passOn();
     publish();
     startNextRequest();
 }
 
-RegistryPeer RegistryTask::peerOf(const RegisteredTarget &target) const
-{
-    return {HostId(target.address.ip), target.zone, regionOf(m_settings, target.zone)};
-}
-
 void RegistryTask::passOn()
 {
-    if (m_follower.changes() == m_passedOnChanges && m_follower.isListed() == m_passedOnListing) {
+    const RegistryFollower &follower = m_reads.follower();
+    if (follower.changes() == m_passedOnChanges && follower.isListed() == m_passedOnListing) {
         return;
     }
-    m_passedOnChanges = m_follower.changes();
-    m_passedOnListing = m_follower.isListed();
-    if (m_follower.isListed()) {
-        std::vector<RegistryPeer> peers;
-        for (const RegisteredTarget &target : m_follower.activeTargets()) {
-            if (!target.draining && m_follower.isServiceKnown(target.service)) {
-                peers.push_back(peerOf(target));
-            }
-        }
-        m_upstreams.setPeers(std::move(peers));
-    }
-    m_peers.onChange(m_follower.takeChangedTargets());
+    m_passedOnChanges = follower.changes();
+    m_passedOnListing = follower.isListed();
+    m_peers.onChange(m_reads.follower().takeChangedTargets());
 }
 
 void RegistryTask::updateSourceStatus(ResultCode code, const std::string &detail)
@@ -401,7 +272,7 @@
 
 void RegistryTask::logInvalidRecords()
 {
-    for (const InvalidRecord &record : m_follower.takeInvalidRecords()) {
+    for (const InvalidRecord &record : m_reads.follower().takeInvalidRecords()) {
         m_metrics.count(Counter::InputRefused, record.code);
         logEvent(Event::RecordIgnored, {{"code", std::to_string(number(record.code))}, {"detail", record.detail}});
     }
@@ -410,12 +281,13 @@
 void RegistryTask::publish()
 {
     // A configuration with an incomplete list of targets would refuse calls that can be served.
-    if (m_follower.changes() == m_publishedChanges || !m_follower.isListed() || !m_follower.configuration()) {
+    const RegistryFollower &follower = m_reads.follower();
+    if (follower.changes() == m_publishedChanges || !follower.isListed() || !follower.configuration()) {
         return;
     }
-    m_publishedChanges = m_follower.changes();
+    m_publishedChanges = follower.changes();
     State state = *m_state;
-    if (m_follower.configuration()->number != state.number) {
+    if (follower.configuration()->number != state.number) {
         publishRoutes(state);
     }
     publishTargets(state);
@@ -425,7 +297,7 @@
 
 void RegistryTask::publishRoutes(State &state)
 {
-    const PublishedConfiguration &configuration = *m_follower.configuration();
+    const PublishedConfiguration &configuration = *m_reads.follower().configuration();
     state.number = configuration.number;
     state.ticketDigest = configuration.digest;
     state.stateDigest = configuration.digest;
@@ -450,13 +322,13 @@
 void RegistryTask::publishTargets(State &state)
 {
     std::map<ServiceId, Service> services;
-    for (const ServiceId &id : m_follower.configuration()->services) {
+    for (const ServiceId &id : m_reads.follower().configuration()->services) {
         services[id].id = id;
     }
     auto &endpoints = state.endpoints.edit();
     endpoints.clear();
     m_hosts.clear();
-    for (const RegisteredTarget &target : m_follower.activeTargets()) {
+    for (const RegisteredTarget &target : m_reads.follower().activeTargets()) {
         const auto service = services.find(target.service);
         if (service == services.end() || !isUsable(target)) {
             continue;
