--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -68,6 +68,9 @@
     void onPeerReply(const HostId &host, const std::optional<SyncReply> &reply);
     void onNextRequestTimer();
     void setUpstream(const std::optional<HostId> &host);
+    /// The follower's records may have changed.
+    void takeOverRecords();
+    void watchRetainedTargets();
     /// Passes changed records on to peers.
     void passOn();
     /// Puts a new state in force if the follower's records have changed.
@@ -94,6 +97,7 @@
     TicketWaiters m_waiters;
     Timer m_nextRequestTimer;
     Timer m_expiryTimer;
+    std::size_t m_retainedCount = 0; ///< value of RegistryFollower::retainedCount() that was logged
     StatePtr m_state; ///< never null
     std::uint64_t m_publishedChanges = 0; ///< value of RegistryFollower::changes() that m_state reflects
     std::map<HostId, HostView> m_hosts;
--- a/include/jasminemast/registry/readschedule.h
+++ b/include/jasminemast/registry/readschedule.h
@@ -59,7 +59,7 @@
     void onPause(TimePoint now);
     /// Another registry is read from now on.
     void onRegistryChanged(TimePoint now);
-    /// Removes targets whose grace period is over.
+    /// Removes targets that are retained no longer; see RegistryFollower::nextExpiry().
     void expire(TimePoint now);
 
     [[nodiscard]] RegistryFollower &follower()
@@ -81,6 +81,7 @@
     }
 
 private:
+    [[nodiscard]] ReadAction choose(TimePoint now);
     [[nodiscard]] ReadAction askPeer(const HostId &host, TimePoint now);
     void applyReply(const HostId &host, const SyncReply &reply, TimePoint now);
     void endDiscovery(TimePoint now);
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -21,6 +21,11 @@
     Milliseconds maxRetryDelay {800}; ///< bounds how late a change is seen after an outage
     /// Time after an outage of the registry within which targets that were removed during it can register again.
     Milliseconds reregistrationGrace {2'000};
+    /// The records of live targets only expire in an outage of at least two intervals of their reports.
+    Milliseconds minOutage {3'000};
+    /// How long after the start of a failed call removals may still wait. If only this node was cut off, it must act on
+    /// them from 3 s after the cut on, and the cut may have ended as soon as the call had begun.
+    Milliseconds maxRemovalDelay {2'750};
     /// After changes of this size the next call is a listing: it contains only the newest configuration, while the
     /// changes of a few seconds can be many times as large.
     std::size_t maxChangeBytes = 1U << 20U;
@@ -61,8 +66,12 @@
 
 /// State machine without I/O. Perform the action that next() returns, pass the response to onResponse(), and repeat.
 ///
+/// A target whose record is removed may register again if the registry was away. It stays in use until then, at this
+/// node alone: peers are told of the removal at once, as each of them has its own evidence of an outage. A node that
+/// could not call the registry does not take this for an outage if a peer has read it meanwhile.
+///
 /// Invariants: the configuration's number never falls; a report of a target never replaces a newer one; nothing is
-/// removed while the registry is unreachable.
+/// removed while the registry is unreachable; targetsDigest() and revision() leave out what is retained.
 class RegistryFollower
 {
 public:
@@ -75,12 +84,20 @@
     {
         return m_nextCallAt;
     }
+    /// The List or Watch that next() returned is sent now; without this, calls count as taking no time.
+    void onCallStarted(TimePoint now)
+    {
+        m_callStartedAt = now;
+    }
     /// Handles the response to the last List or Watch.
     void onResponse(RegistryResponse response, TimePoint now);
-    /// Removes targets that did not register again within reregistrationGrace after an outage.
+    /// Removes targets that did not register again in time after an outage.
     void expire(TimePoint now);
-    /// Takes what a peer passes on. False if the content does not fit: ask for all of it.
-    bool applyContent(const SyncContent &content, TimePoint now);
+    /// When expire() has something to remove; TimePoint::max() if nothing is retained.
+    [[nodiscard]] TimePoint nextExpiry() const;
+    /// Takes what a peer passes on, to which the registry confirmed it at \p confirmedAt. False if the content does not
+    /// fit: ask for all of it.
+    bool applyContent(const SyncContent &content, TimePoint confirmedAt, TimePoint now);
     /// Whether this node regularly reads the registry, and so is the first to try again after a failure.
     void setStandby(bool isStandby)
     {
@@ -94,10 +111,16 @@
     {
         return m_configuration;
     }
+    /// All targets in use, also those that are retained.
     [[nodiscard]] const std::map<EndpointId, KnownTarget> &targets() const
     {
         return m_targets;
     }
+    /// True if the target is in use although its record was removed.
+    [[nodiscard]] bool isRetained(const EndpointId &id) const
+    {
+        return m_retained.contains(id);
+    }
     /// The targets except those whose address belongs to a newer one: a crashed target stays registered for a while
     /// after its successor has started at the same address. Targets of unknown services come after all others.
     [[nodiscard]] std::vector<RegisteredTarget> activeTargets() const;
@@ -111,15 +134,20 @@
     {
         return m_hasListed;
     }
-    /// Identifies the set of targets and their reports.
+    /// Number of targets in use although their records were removed.
+    [[nodiscard]] std::size_t retainedCount() const
+    {
+        return m_retained.size();
+    }
+    /// Identifies the set of registered targets and their reports.
     [[nodiscard]] std::uint64_t targetsDigest() const
     {
         return m_targetsDigest;
     }
-    /// All changes up to this revision are in the records; none of them waits for its grace period.
-    [[nodiscard]] Revision settledRevision() const
+    /// All changes up to this revision are in the records.
+    [[nodiscard]] Revision revision() const
     {
-        return m_settledRevision;
+        return m_revision;
     }
     /// Returns the targets that were changed or removed since the last call.
     std::vector<EndpointId> takeChangedTargets();
@@ -146,10 +174,18 @@
         auto operator<=>(const ReportVersion &) const = default;
     };
 
+    /// A target whose record was removed, but which may register again.
+    struct RetainedTarget
+    {
+        TimePoint until;
+        Revision removedAt; ///< older reports do not register it again
+    };
+
     [[nodiscard]] TicketNumber number() const;
-    void onFailure(ResultCode code, TimePoint now);
+    void onFailure(TimePoint startedAt, TimePoint now);
+    /// The registry was reachable at \p when, for this node or a peer.
+    void onConfirmed(TimePoint when);
     void setConfiguration(PublishedConfiguration configuration);
-    void updateSettledRevision();
     void recordTargetChange(const EndpointId &id);
     void onPage(RegistryResponse &response, TimePoint now);
     void endListing(TimePoint now);
@@ -157,15 +193,14 @@
     void applyRecord(RegistryRecord &record, TimePoint now);
     void applyTarget(const RegisteredTarget &target, TimePoint now);
     void onRemoved(const TargetRemoved &removed, TimePoint now);
-    void removeOrDefer(const EndpointId &id, TimePoint now);
+    void removeOrRetain(const EndpointId &id, Revision removedAt, TimePoint now);
     void remove(const EndpointId &id);
-    [[nodiscard]] bool isInGracePeriod(TimePoint now) const;
 
     RegistryFollowerLimits m_limits;
     std::shared_ptr<const PublishedConfiguration> m_configuration;
     std::set<ServiceId> m_services; ///< of m_configuration
     std::map<EndpointId, KnownTarget> m_targets;
-    std::map<EndpointId, TimePoint> m_unconfirmed; ///< when to remove targets that have not registered again
+    std::map<EndpointId, RetainedTarget> m_retained; ///< their targets are in m_targets
     /// Last reports of removed targets, so that a late report does not add them again.
     std::map<EndpointId, ReportVersion> m_removedReports;
     std::vector<InvalidRecord> m_invalidRecords;
@@ -173,15 +208,17 @@
     std::string m_after; ///< where the next page of the current listing starts
     std::optional<Revision> m_listStart; ///< revision of the first page of the current listing
     Revision m_revision; ///< up to which all changes have been read
-    Revision m_settledRevision; ///< m_revision when m_unconfirmed was last empty
-    std::uint64_t m_targetsDigest = 0; ///< combines the reports of m_targets
+    std::uint64_t m_targetsDigest = 0; ///< combines the reports of m_targets without m_retained
     std::vector<EndpointId> m_changedTargets;
     bool m_isStandby = false;
     bool m_isListing = true;
     bool m_hasListed = false;
     unsigned m_failures = 0; ///< consecutive failed calls
     TimePoint m_nextCallAt; ///< earliest time of the next call
-    std::optional<TimePoint> m_recoveredAt; ///< end of the last outage
+    std::optional<TimePoint> m_callStartedAt; ///< of the pending call
+    TimePoint m_failedCallAt; ///< when the last failed call started
+    std::optional<TimePoint> m_confirmedAt; ///< when the registry was last known to be reachable
+    TimePoint m_retainUntil; ///< until when targets removed after the last outage are retained
     std::uint64_t m_changes = 0;
 };
 
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -12,8 +12,6 @@
 {
 
 constexpr std::size_t MaxLogbookEntries = 1'000; // fits into one response of /v1/tickets
-/// How often removed targets are checked for expiry; short compared with their grace period.
-constexpr Milliseconds ExpiryInterval {250};
 constexpr Milliseconds PeerTimeout {1'000};
 
 RegionId regionOf(const NodeSettings &settings, const ZoneId &zone)
@@ -41,8 +39,7 @@
     , m_expiryTimer(context.loop,
                     [this] {
                         m_reads.expire(m_clock.now());
-                        passOn();
-                        publish();
+                        takeOverRecords();
                     })
     , m_state(emptyState())
 {
@@ -51,7 +48,6 @@
 void RegistryTask::start()
 {
     m_reads.start(m_clock.now());
-    m_expiryTimer.startRepeating(ExpiryInterval);
     startNextRequest();
 }
 
@@ -202,8 +198,7 @@
     if (code != ResultCode::Ok) {
         m_metrics.count(Counter::InputRefused, code);
     }
-    passOn();
-    publish();
+    takeOverRecords();
     startNextRequest();
 }
 
@@ -241,9 +236,31 @@
     updateSourceStatus(response.code, response.detail);
     m_reads.onResponse(std::move(response), m_clock.now());
     logInvalidRecords();
+    takeOverRecords();
+    startNextRequest();
+}
+
+void RegistryTask::takeOverRecords()
+{
     passOn();
     publish();
-    startNextRequest();
+    watchRetainedTargets();
+}
+
+void RegistryTask::watchRetainedTargets()
+{
+    const RegistryFollower &follower = m_reads.follower();
+    const std::size_t lastCount = std::exchange(m_retainedCount, follower.retainedCount());
+    if (m_retainedCount == 0) {
+        return;
+    }
+    const Duration delay = std::max(Duration(0), follower.nextExpiry() - m_clock.now());
+    m_expiryTimer.start(delay);
+    if (m_retainedCount > lastCount) {
+        logEvent(Event::TargetsRetained,
+                 {{"count", std::to_string(m_retainedCount)},
+                  {"ms", std::to_string(std::chrono::duration_cast<Milliseconds>(delay).count())}});
+    }
 }
 
 void RegistryTask::passOn()
--- a/lib/registry/readschedule.cpp
+++ b/lib/registry/readschedule.cpp
@@ -52,6 +52,15 @@
 }
 
 ReadAction ReadSchedule::next(TimePoint now)
+{
+    ReadAction action = choose(now);
+    if (!std::holds_alternative<registryaction::Wait>(action) && !std::holds_alternative<readaction::AskPeer>(action)) {
+        m_follower.onCallStarted(now);
+    }
+    return action;
+}
+
+ReadAction ReadSchedule::choose(TimePoint now)
 {
     if (now < m_nextRequestAt) {
         return registryaction::Wait {m_nextRequestAt};
@@ -90,7 +99,7 @@
     SyncRequest request;
     request.isListed = m_follower.isListed();
     request.number = m_follower.configuration() ? m_follower.configuration()->number : TicketNumber(0);
-    request.revision = m_follower.settledRevision();
+    request.revision = m_follower.revision();
     request.targetsDigest = m_follower.targetsDigest();
     request.waitMs = m_isDiscovering ? 0 : static_cast<std::uint32_t>(PeerWait.count());
     // Stops waiting for the peer once the records are old and the registry can be called.
@@ -123,14 +132,15 @@
 void ReadSchedule::applyReply(const HostId &host, const SyncReply &reply, TimePoint now)
 {
     const SyncContent content = decodeSyncContent(reply.content);
-    const bool fits = m_follower.applyContent(content, now);
+    const TimePoint confirmedAt = now - Milliseconds(reply.ageMs);
+    const bool fits = m_follower.applyContent(content, confirmedAt, now);
     // One of the two nodes is behind, or ignored a report: asking again would lead to the same.
     const bool disagrees = content.hasAllTargets && content.targetsDigest != m_follower.targetsDigest();
     if (!fits || disagrees) {
         m_upstreams.exclude(host, now + FailedPeerExclusion);
     }
     m_isDiscovering = m_isDiscovering && !m_follower.isListed();
-    m_confirmedAt = std::max(m_confirmedAt, now - Milliseconds(reply.ageMs));
+    m_confirmedAt = std::max(m_confirmedAt, confirmedAt);
     if (Milliseconds(reply.ageMs) >= MaxPeerAge) {
         const bool isOutage = now - m_confirmedAt >= OutageAge;
         m_upstreams.exclude(host, now + (isOutage ? OutagePeerExclusion : OldPeerExclusion));
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -70,18 +70,16 @@
 
 void RegistryFollower::onResponse(RegistryResponse response, TimePoint now)
 {
+    const TimePoint startedAt = std::exchange(m_callStartedAt, std::nullopt).value_or(now);
     if (response.code == ResultCode::RegistryHistoryGone) {
         refresh(now);
         return;
     }
     if (response.code != ResultCode::Ok) {
-        onFailure(response.code, now);
+        onFailure(startedAt, now);
         return;
     }
-    if (m_failures > 0) {
-        m_failures = 0;
-        m_recoveredAt = now;
-    }
+    onConfirmed(now);
     if (m_isListing) {
         onPage(response, now);
     } else {
@@ -89,8 +87,23 @@
     }
 }
 
-void RegistryFollower::onFailure(ResultCode /*code*/, TimePoint now)
+void RegistryFollower::onConfirmed(TimePoint when)
+{
+    if (m_confirmedAt && when <= *m_confirmedAt) {
+        return;
+    }
+    if (m_failures > 0 && m_confirmedAt && when - *m_confirmedAt >= m_limits.minOutage) {
+        m_retainUntil = std::min(when + m_limits.reregistrationGrace, m_failedCallAt + m_limits.maxRemovalDelay);
+    }
+    m_confirmedAt = when;
+    if (when >= m_failedCallAt) {
+        m_failures = 0;
+    }
+}
+
+void RegistryFollower::onFailure(TimePoint startedAt, TimePoint now)
 {
+    m_failedCallAt = startedAt;
     const auto factor = 1U << std::min(m_failures, MaxDoublings);
     const unsigned standbyFactor = m_isStandby ? m_limits.standbyDelayFactor : 1;
     m_nextCallAt = now + std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay) * standbyFactor;
@@ -140,14 +153,13 @@
         }
     }
     for (const EndpointId &id : missing) {
-        removeOrDefer(id, now);
+        removeOrRetain(id, *m_listStart, now);
     }
     m_revision = *m_listStart;
     m_listStart.reset();
     m_seen.clear();
     m_isListing = false;
     m_hasListed = true;
-    updateSettledRevision();
 }
 
 void RegistryFollower::onChanges(RegistryResponse &response, TimePoint now)
@@ -156,7 +168,6 @@
         applyRecord(record, now);
     }
     m_revision = std::max(m_revision, response.revision);
-    updateSettledRevision();
     if (response.size > m_limits.maxChangeBytes) {
         refresh(now + m_limits.coalescingDelay);
     } else if (!response.records.empty() || response.hasOtherItems) {
@@ -198,7 +209,7 @@
     }
 }
 
-bool RegistryFollower::applyContent(const SyncContent &content, TimePoint now)
+bool RegistryFollower::applyContent(const SyncContent &content, TimePoint confirmedAt, TimePoint now)
 {
     if (content.configuration) {
         const ConfigurationDelta &delta = *content.configuration;
@@ -210,6 +221,11 @@
             return false;
         }
     }
+    const bool wasDown = isDown();
+    onConfirmed(confirmedAt);
+    if (wasDown && !isDown()) {
+        m_nextCallAt = now;
+    }
     std::set<EndpointId> passedOn;
     for (const RegisteredTarget &target : content.targets) {
         passedOn.insert(target.id);
@@ -228,32 +244,19 @@
         const auto known = m_targets.find(id);
         // The peer cannot know a target that registered later than what it has read.
         if (known != m_targets.end() && known->second.target.revision <= content.revision) {
-            remove(id);
+            removeOrRetain(id, content.revision, now);
         }
     }
-    if (m_failures > 0) {
-        m_failures = 0;
-        m_nextCallAt = now;
-        m_recoveredAt = now;
-    }
     if (m_hasListed && content.targetsDigest == m_targetsDigest) {
         m_isListing = false;
         m_after.clear();
         m_seen.clear();
         m_listStart.reset();
         m_revision = std::max(m_revision, content.revision);
-        updateSettledRevision();
     }
     return true;
 }
 
-void RegistryFollower::updateSettledRevision()
-{
-    if (m_unconfirmed.empty()) {
-        m_settledRevision = m_revision;
-    }
-}
-
 void RegistryFollower::recordTargetChange(const EndpointId &id)
 {
     ++m_changes;
@@ -269,6 +272,10 @@
 {
     const ReportVersion version {target.startedAt, target.sequence};
     const auto known = m_targets.find(target.id);
+    const auto retained = m_retained.find(target.id);
+    if (retained != m_retained.end() && target.revision <= retained->second.removedAt) {
+        return;
+    }
     if (known != m_targets.end()) {
         const RegisteredTarget &last = known->second.target;
         if (version < ReportVersion {last.startedAt, last.sequence}) {
@@ -276,15 +283,15 @@
         }
     }
     if (known != m_targets.end() && isSameReport(known->second.target, target)) {
-        m_unconfirmed.erase(target.id);
         return;
     }
     const auto removedReport = m_removedReports.find(target.id);
     if (known == m_targets.end() && removedReport != m_removedReports.end() && version <= removedReport->second) {
         return;
     }
-    m_unconfirmed.erase(target.id);
-    if (known != m_targets.end()) {
+    if (retained != m_retained.end()) {
+        m_retained.erase(retained);
+    } else if (known != m_targets.end()) {
         m_targetsDigest ^= reportDigest(known->second.target);
     }
     m_targetsDigest ^= reportDigest(target);
@@ -292,32 +299,29 @@
     recordTargetChange(target.id);
 }
 
-bool RegistryFollower::isInGracePeriod(TimePoint now) const
-{
-    return m_recoveredAt && now < *m_recoveredAt + m_limits.reregistrationGrace;
-}
-
 void RegistryFollower::onRemoved(const TargetRemoved &removed, TimePoint now)
 {
     // A watch starts at the listing's first page, so it repeats removals that later pages already reflect.
     const auto known = m_targets.find(removed.id);
     if (known != m_targets.end() && known->second.target.revision <= removed.revision) {
-        removeOrDefer(removed.id, now);
+        removeOrRetain(removed.id, removed.revision, now);
     }
 }
 
-void RegistryFollower::removeOrDefer(const EndpointId &id, TimePoint now)
+void RegistryFollower::removeOrRetain(const EndpointId &id, Revision removedAt, TimePoint now)
 {
     const auto known = m_targets.find(id);
-    if (known == m_targets.end()) {
+    if (known == m_targets.end() || m_retained.contains(id)) {
         return;
     }
     // A draining target does not register again.
-    if (!isInGracePeriod(now) || known->second.target.draining) {
+    if (now >= m_retainUntil || known->second.target.draining) {
         remove(id);
         return;
     }
-    m_unconfirmed.emplace(id, *m_recoveredAt + m_limits.reregistrationGrace);
+    m_retained.emplace(id, RetainedTarget {m_retainUntil, removedAt});
+    m_targetsDigest ^= reportDigest(known->second.target);
+    recordTargetChange(id);
 }
 
 void RegistryFollower::remove(const EndpointId &id)
@@ -331,8 +335,9 @@
     }
     const RegisteredTarget &last = known->second.target;
     m_removedReports.insert_or_assign(id, ReportVersion {last.startedAt, last.sequence});
-    m_targetsDigest ^= reportDigest(last);
-    m_unconfirmed.erase(id);
+    if (m_retained.erase(id) == 0) {
+        m_targetsDigest ^= reportDigest(last);
+    }
     m_targets.erase(known);
     recordTargetChange(id);
 }
@@ -360,17 +365,23 @@
 void RegistryFollower::expire(TimePoint now)
 {
     std::vector<EndpointId> expired;
-    for (const auto &[id, until] : m_unconfirmed) {
-        if (until <= now) {
+    for (const auto &[id, retained] : m_retained) {
+        if (retained.until <= now) {
             expired.push_back(id);
         }
     }
     for (const EndpointId &id : expired) {
         remove(id);
     }
-    if (!expired.empty()) {
-        updateSettledRevision();
+}
+
+TimePoint RegistryFollower::nextExpiry() const
+{
+    TimePoint next = TimePoint::max();
+    for (const auto &[id, retained] : m_retained) {
+        next = std::min(next, retained.until);
     }
+    return next;
 }
 
 std::vector<InvalidRecord> RegistryFollower::takeInvalidRecords()
--- a/lib/registry/syncserver.cpp
+++ b/lib/registry/syncserver.cpp
@@ -19,7 +19,7 @@
         return true;
     }
     // A peer that knows more than this node has nothing to learn here.
-    return request.targetsDigest != m_follower.targetsDigest() && request.revision <= m_follower.settledRevision();
+    return request.targetsDigest != m_follower.targetsDigest() && request.revision <= m_follower.revision();
 }
 
 bool SyncServer::differs(const SyncRequest &request) const
@@ -124,7 +124,7 @@
     const auto age = std::chrono::duration_cast<Milliseconds>(now - confirmedAt);
     result.ageMs = static_cast<std::uint32_t>(std::clamp<std::int64_t>(age.count(), 0, UINT32_MAX));
     // Requests without targets get all, whatever their digest.
-    if (!request.isListed || request.revision > m_follower.settledRevision()) {
+    if (!request.isListed || request.revision > m_follower.revision()) {
         result.content = encodeSyncContent(makeContent(request, now));
         return result;
     }
@@ -139,7 +139,7 @@
 SyncContent SyncServer::makeContent(const SyncRequest &request, TimePoint now) const
 {
     SyncContent content;
-    content.revision = m_follower.settledRevision();
+    content.revision = m_follower.revision();
     content.targetsDigest = m_follower.targetsDigest();
     const auto &configuration = m_follower.configuration();
     if (configuration && request.number < configuration->number) {
@@ -171,7 +171,9 @@
     if (!request.isListed || first == m_changes.rend()) {
         content.hasAllTargets = true;
         for (const auto &[id, known] : m_follower.targets()) {
-            content.targets.push_back(targetAt(known, now));
+            if (!m_follower.isRetained(id)) {
+                content.targets.push_back(targetAt(known, now));
+            }
         }
         return;
     }
@@ -181,7 +183,7 @@
     }
     for (const EndpointId &id : changed) {
         const auto known = m_follower.targets().find(id);
-        if (known == m_follower.targets().end()) {
+        if (known == m_follower.targets().end() || m_follower.isRetained(id)) {
             content.removedTargets.push_back(id);
         } else {
             content.targets.push_back(targetAt(known->second, now));
--- a/unittests/registry/registryfollowertest.cpp
+++ b/unittests/registry/registryfollowertest.cpp
@@ -57,6 +57,23 @@
     return follower;
 }
 
+/// All calls of \p follower fail from \p from to \p until. Returns when the last of them started.
+TimePoint failCalls(RegistryFollower &follower, TimePoint from, TimePoint until)
+{
+    TimePoint last = from;
+    for (TimePoint now = from; now < until;) {
+        const RegistryAction action = follower.next(now);
+        if (const auto *wait = std::get_if<registryaction::Wait>(&action)) {
+            now = wait->until;
+            continue;
+        }
+        last = now;
+        follower.onCallStarted(now);
+        follower.onResponse(failure(ResultCode::RegistryUnreachable), now);
+    }
+    return last;
+}
+
 template<class Action>
 bool isNext(const RegistryFollower &follower, TimePoint now)
 {
@@ -164,8 +181,8 @@
 TEST(RegistryFollowerTest, TargetsRemovedDuringOutageCanRegisterAgain)
 {
     RegistryFollower follower = makeListedFollower();
-    follower.onResponse(failure(ResultCode::RegistryUnreachable), Start);
     const TimePoint back = Start + 5s;
+    failCalls(follower, Start, back);
     follower.onResponse(
         response(13, {TargetRemoved {EndpointId("a"), Revision(12)}, TargetRemoved {EndpointId("b"), Revision(13)}}),
         back);
@@ -178,12 +195,98 @@
     EXPECT_FALSE(follower.targets().contains(EndpointId("b"))) << "not registered again within the grace period";
 }
 
+// A node that was cut off for a moment, or whose waiting watch was cut, took this for an outage of the registry and
+// went on using a removed target for 2 s (review/2).
+TEST(RegistryFollowerTest, TroubleTooShortForRecordsToExpireRetainsNothing)
+{
+    for (const Milliseconds trouble : {0ms, 600ms, 2'990ms}) {
+        RegistryFollower follower = makeListedFollower();
+        follower.onCallStarted(Start);
+        follower.onResponse(failure(ResultCode::RegistryUnreachable), Start);
+        follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + trouble);
+        EXPECT_FALSE(follower.targets().contains(EndpointId("a"))) << trouble.count();
+    }
+}
+
+// A peer that has read the registry meanwhile shows that only this node was cut off.
+TEST(RegistryFollowerTest, TroubleOfThisNodeAloneRetainsNothing)
+{
+    RegistryFollower follower = makeListedFollower();
+    SyncContent content;
+    content.revision = Revision(10);
+    content.targetsDigest = follower.targetsDigest();
+    for (TimePoint now = Start; now < Start + 8s; now += 1s) {
+        failCalls(follower, now, now + 900ms);
+        follower.applyContent(content, now, now + 900ms);
+    }
+    EXPECT_TRUE(follower.isDown()) << "its own calls still fail";
+    follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + 8s);
+    EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
+}
+
+// A reply with old records is no end of an outage: nothing is retained for its sake, and the calls stay as rare.
+TEST(RegistryFollowerTest, OldRecordsOfAPeerAreNoEndOfAnOutage)
+{
+    RegistryFollower follower = makeListedFollower();
+    SyncContent content;
+    content.revision = Revision(10);
+    content.targetsDigest = follower.targetsDigest();
+    const TimePoint end = Start + 5s;
+    failCalls(follower, Start, end);
+    const TimePoint nextCallAt = follower.nextCallAt();
+    follower.applyContent(content, Start - 100ms, end);
+    EXPECT_TRUE(follower.isDown());
+    EXPECT_EQ(follower.nextCallAt(), nextCallAt);
+    follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), nextCallAt);
+    EXPECT_TRUE(follower.targets().contains(EndpointId("a"))) << "the outage ended only now";
+}
+
+// A node that was cut off alone is bound again 3 s after the cut, which may have ended once its last call had begun.
+TEST(RegistryFollowerTest, RetainsNothingBeyondTheTimeFromWhichTheNodeIsBoundAgain)
+{
+    const RegistryFollowerLimits limits;
+    for (const Milliseconds callTime : {0ms, 800ms, 1'500ms}) {
+        RegistryFollower follower = makeListedFollower();
+        const TimePoint lastCall = failCalls(follower, Start, Start + 6s);
+        const TimePoint back = lastCall + callTime;
+        follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), back);
+        ASSERT_TRUE(follower.targets().contains(EndpointId("a")));
+        const TimePoint expiry = follower.nextExpiry();
+        EXPECT_EQ(expiry, std::min(back + limits.reregistrationGrace, lastCall + limits.maxRemovalDelay));
+        EXPECT_LT(expiry, lastCall + 3s);
+        follower.expire(expiry);
+        EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
+    }
+}
+
+// A peer that is behind still has the record; it must not register the target again.
+TEST(RegistryFollowerTest, ReportAsOldAsTheRemovalDoesNotRegisterARetainedTarget)
+{
+    RegistryFollower follower = makeListedFollower();
+    const std::uint64_t both = follower.targetsDigest();
+    failCalls(follower, Start, Start + 5s);
+    follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + 5s);
+    ASSERT_TRUE(follower.isRetained(EndpointId("a")));
+    EXPECT_NE(follower.targetsDigest(), both) << "peers see the removal";
+    SyncContent behind;
+    behind.revision = Revision(10);
+    behind.targetsDigest = both;
+    behind.hasAllTargets = true;
+    behind.targets = {target("a", 1, 8), target("b", 1, 9)};
+    follower.applyContent(behind, Start, Start + 5s);
+    EXPECT_TRUE(follower.isRetained(EndpointId("a")));
+    follower.onResponse(response(14, {target("a", 2, 14)}), Start + 6s);
+    EXPECT_FALSE(follower.isRetained(EndpointId("a")));
+    follower.expire(Start + 10s);
+    EXPECT_TRUE(follower.targets().contains(EndpointId("a")));
+}
+
 TEST(RegistryFollowerTest, DrainingTargetRemovedDuringOutageIsRemovedAtOnce)
 {
     RegistryFollower follower = makeListedFollower();
     follower.onResponse(response(11, {target("a", 2, 11, true)}), Start);
-    follower.onResponse(failure(ResultCode::RegistryUnreachable), Start);
-    follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + 1s);
+    failCalls(follower, Start, Start + 5s);
+    follower.onResponse(response(12, {TargetRemoved {EndpointId("a"), Revision(12)}}), Start + 5s);
     EXPECT_FALSE(follower.targets().contains(EndpointId("a")));
 }
 
--- a/unittests/registry/synctest.cpp
+++ b/unittests/registry/synctest.cpp
@@ -85,7 +85,7 @@
         result.id = 7;
         result.isListed = follower.isListed();
         result.number = follower.configuration() ? follower.configuration()->number : TicketNumber(0);
-        result.revision = follower.settledRevision();
+        result.revision = follower.revision();
         result.targetsDigest = follower.targetsDigest();
         result.waitMs = waitMs;
         return result;
@@ -98,7 +98,7 @@
         EXPECT_EQ(replies.size(), 1U);
         SyncReply reply = replies.front().second;
         if (reply.status == SyncStatus::Ok) {
-            follower.applyContent(decodeSyncContent(reply.content), now);
+            follower.applyContent(decodeSyncContent(reply.content), now, now);
             changed(now);
         }
         return reply;
@@ -162,7 +162,8 @@
     const auto replies = upstream.changed(Start + 100ms);
     ASSERT_EQ(replies.size(), 1U);
     EXPECT_LT(replies.front().second.content.size(), wholeBytes / 10);
-    EXPECT_TRUE(node.follower.applyContent(decodeSyncContent(replies.front().second.content), Start + 100ms));
+    EXPECT_TRUE(
+        node.follower.applyContent(decodeSyncContent(replies.front().second.content), Start + 100ms, Start + 100ms));
     EXPECT_EQ(routesOf(*node.follower.configuration()), routesOf(configuration(5, routes)));
     EXPECT_TRUE(node.follower.targets().at(EndpointId("1")).target.draining);
     EXPECT_EQ(node.follower.targetsDigest(), upstream.follower.targetsDigest());
@@ -247,24 +248,43 @@
     EXPECT_EQ(revisionsOf(restarted), revisionsOf(ahead)) << "and does not go back";
 }
 
-TEST(SyncTest, RemovalThatWaitsForItsGracePeriodIsNotLost)
+// A reader that retained a target told nobody of the removal, also not the nodes that knew of no outage (review/2).
+TEST(SyncTest, RemovalIsPassedOnWhileTheNodeRetainsTheTarget)
 {
     Node reader;
-    Node node;
+    Node disturbed;
+    Node undisturbed;
     reader.read(response(10, {configuration(3, {route("a")}), target("1", 1, 8), target("2", 1, 9)}), Start);
+    disturbed.readAt(reader, Start);
+    undisturbed.readAt(reader, Start);
     RegistryResponse outage;
     outage.code = ResultCode::RegistryUnreachable;
-    reader.read(outage, Start);
-    reader.read(response(13, {TargetRemoved {EndpointId("1"), Revision(12)}}), Start + 1s);
-    node.readAt(reader, Start + 1s);
-    EXPECT_TRUE(node.follower.targets().contains(EndpointId("1")));
-    const RegistryAction watch = node.follower.next(Start + 1s);
-    EXPECT_LT(std::get<registryaction::Watch>(watch).revision, Revision(12))
-        << "a node that becomes a reader now sees the removal again";
-    reader.follower.expire(Start + 3s);
-    reader.changed(Start + 3s);
-    node.readAt(reader, Start + 3s);
-    EXPECT_FALSE(node.follower.targets().contains(EndpointId("1")));
+    const TimePoint back = Start + 5s;
+    for (TimePoint now = Start; now < back; now += 500ms) {
+        reader.read(outage, now);
+        disturbed.read(outage, now);
+    }
+    EXPECT_TRUE(undisturbed.server.onRequest({&reader, 1}, reader.request(500), back, back).empty());
+    reader.read(response(13, {TargetRemoved {EndpointId("1"), Revision(12)}}), back);
+    EXPECT_TRUE(reader.follower.targets().contains(EndpointId("1")));
+    disturbed.readAt(reader, back);
+    EXPECT_TRUE(disturbed.follower.targets().contains(EndpointId("1"))) << "it could not call the registry either";
+    undisturbed.readAt(reader, back);
+    EXPECT_FALSE(undisturbed.follower.targets().contains(EndpointId("1")));
+    Node started;
+    started.readAt(reader, back);
+    EXPECT_FALSE(started.follower.targets().contains(EndpointId("1")));
+    for (const Node *node : {&disturbed, &undisturbed, &started}) {
+        EXPECT_EQ(node->follower.targetsDigest(), reader.follower.targetsDigest());
+        const RegistryAction watch = node->follower.next(back);
+        EXPECT_EQ(std::get<registryaction::Watch>(watch).revision, Revision(13)) << "a reader goes on from here";
+    }
+    for (Node *node : {&reader, &disturbed}) {
+        const TimePoint expiry = node->follower.nextExpiry();
+        EXPECT_LE(expiry, back + 2s);
+        node->follower.expire(expiry);
+        EXPECT_FALSE(node->follower.targets().contains(EndpointId("1")));
+    }
 }
 
 // Nodes of different versions understand each other.
@@ -347,7 +367,7 @@
         const std::string id = std::to_string(*rc::gen::inRange(0, 5));
         Node &node = *nodes[*rc::gen::inRange<std::size_t>(0, Nodes)];
         const auto number = node.follower.configuration() ? node.follower.configuration()->number : TicketNumber(0);
-        const Revision settled = node.follower.settledRevision();
+        const Revision settled = node.follower.revision();
         bool wasRestarted = false;
         if (kind == 0) {
             registry.number += *rc::gen::inRange<std::uint64_t>(1, 4);
@@ -381,7 +401,7 @@
         if (!wasRestarted) {
             const auto &current = node.follower.configuration();
             RC_ASSERT((current ? current->number : TicketNumber(0)) >= number);
-            RC_ASSERT(node.follower.settledRevision() >= settled);
+            RC_ASSERT(node.follower.revision() >= settled);
         }
     }
     // Grace periods end.
--- a/utils/bench/publishbench.cpp
+++ b/utils/bench/publishbench.cpp
@@ -196,7 +196,7 @@
         request.id = id;
         request.isListed = true;
         request.number = follower.configuration()->number;
-        request.revision = follower.settledRevision();
+        request.revision = follower.revision();
         request.targetsDigest = follower.targetsDigest();
         request.waitMs = waitMs;
         return request;
@@ -206,7 +206,7 @@
     void readAt(Records &upstream)
     {
         const auto replies = upstream.server.onRequest({this, 0}, makeRequest(0, 0), TimePoint(), TimePoint());
-        follower.applyContent(decodeSyncContent(replies.at(0).second.content), TimePoint());
+        follower.applyContent(decodeSyncContent(replies.at(0).second.content), TimePoint(), TimePoint());
         server.onChange({}, TimePoint(), TimePoint());
     }
 
@@ -237,7 +237,7 @@
     measureStep("readerPassesOn", [&] { replies = reader.server.onChange({}, TimePoint(), TimePoint()); });
     SyncContent content;
     measureStep("decodeContent", [&] { content = decodeSyncContent(replies.at(0).second.content); });
-    measureStep("applyContent", [&] { peer.follower.applyContent(content, TimePoint()); });
+    measureStep("applyContent", [&] { peer.follower.applyContent(content, TimePoint(), TimePoint()); });
     measureStep("peerPassesOn", [&] { replies = peer.server.onChange({}, TimePoint(), TimePoint()); });
     if (replies.size() != Children || peer.follower.configuration()->number != TicketNumber(LastNumber)) {
         throw std::logic_error("the change was not passed on");
--- a/utils/fuzz/syncfuzzer.cpp
+++ b/utils/fuzz/syncfuzzer.cpp
@@ -18,7 +18,7 @@
     listing.records.emplace_back(known);
     follower.onResponse(std::move(listing), TimePoint());
     try {
-        follower.applyContent(decodeSyncContent(compress(bytes)), TimePoint());
+        follower.applyContent(decodeSyncContent(compress(bytes)), TimePoint(), TimePoint());
     } catch (const ResultError &error) {
         if (error.code() != ResultCode::FrameMalformed) {
             std::abort(); // callers do not expect this code
