[registry] No node waits for lost peers longer than it is out of touch (CONFIG)

Cause: a node that has peers to read at waited up to 3.2 s after a failed call, counted from the failure, whatever its peers did. In touch begins 3 s after the trouble.

Evidence: ReadScheduleTest.NodeWhosePeersAreLostReadsSoonAfterItsCut and the property NodesInTouchHaveTheNewestConfigurationInTime failed before; the property shrinks to two cuts of one node and a lost host.

Fix: retry delays count from the start of the failed call and end before the node is bound again: 0.7 s for a reader, 1.5 s for a node with peers. Changes are read sooner while targets are retained, so that those that register again within 1 s are never dropped (NoNodeDropsTargetsThatRegisterAgainAfterAnOutage, failed before).

--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -17,8 +17,14 @@
     /// long a change is missed; each watch costs one registry call.
     Milliseconds watchWait {800};
     Milliseconds coalescingDelay {500}; ///< delay after changes, so that several in quick succession cost one call
-    Milliseconds minRetryDelay {100}; ///< delay after the first failed call; doubled after each further one
-    Milliseconds maxRetryDelay {800}; ///< bounds how late a change is seen after an outage
+    /// The same while targets are retained, as those that register again are about to be dropped.
+    Milliseconds retainedCoalescingDelay {100};
+    /// Delay between the starts of the first failed call and the next one; doubled after each further failure.
+    Milliseconds minRetryDelay {100};
+    Milliseconds maxRetryDelay {700}; ///< bounds how late a change is seen after an outage
+    /// The same for a node that leaves the registry to its peers. They may be lost or cut off, and it must have read the
+    /// registry by itself 3 s after its own trouble has ended, in which a call of 1.5 s may have begun.
+    Milliseconds maxStandbyRetryDelay {1'500};
     /// Time after an outage of the registry within which targets that were removed during it can register again.
     Milliseconds reregistrationGrace {2'000};
     /// The records of live targets only expire in an outage of at least two intervals of their reports.
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -105,8 +105,10 @@
 {
     m_failedCallAt = startedAt;
     const auto factor = 1U << std::min(m_failures, MaxDoublings);
-    const unsigned standbyFactor = m_isStandby ? m_limits.standbyDelayFactor : 1;
-    m_nextCallAt = now + std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay) * standbyFactor;
+    const Milliseconds delay = m_isStandby
+        ? std::min(m_limits.minRetryDelay * factor * m_limits.standbyDelayFactor, m_limits.maxStandbyRetryDelay)
+        : std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay);
+    m_nextCallAt = std::max(now, startedAt + delay);
     ++m_failures;
 }
 
@@ -171,7 +173,7 @@
     if (response.size > m_limits.maxChangeBytes) {
         refresh(now + m_limits.coalescingDelay);
     } else if (!response.records.empty() || response.hasOtherItems) {
-        m_nextCallAt = now + m_limits.coalescingDelay;
+        m_nextCallAt = now + (m_retained.empty() ? m_limits.coalescingDelay : m_limits.retainedCoalescingDelay);
     }
 }
 
--- a/unittests/registry/readscheduletest.cpp
+++ b/unittests/registry/readscheduletest.cpp
@@ -12,8 +12,8 @@
 
 /// From then on after a disturbance a node is bound again.
 constexpr Milliseconds InTouchWindow {3'000};
-/// A removed target serves for 2.5 s; calls that were sent to it before need some of that.
-constexpr Milliseconds MaxRemovalDelay {2'450};
+/// A change is to be acted on within 2.5 s; calls that were sent just before need some of that.
+constexpr Milliseconds MaxDelay {2'450};
 
 TimePoint at(Milliseconds time)
 {
@@ -36,7 +36,7 @@
     [[nodiscard]] std::optional<std::size_t> findViolation(const RegistryFleet &fleet) const
     {
         for (const auto &[target, removedAt] : m_removedAt) {
-            if (fleet.now() <= removedAt + MaxRemovalDelay || !fleet.isStable(removedAt, InTouchWindow)) {
+            if (fleet.now() <= removedAt + MaxDelay || !fleet.isStable(removedAt, InTouchWindow)) {
                 continue;
             }
             for (std::size_t node = 0; node < fleet.size(); ++node) {
@@ -52,6 +52,36 @@
     std::map<std::size_t, TimePoint> m_removedAt;
 };
 
+/// Configurations acknowledged by the registry, checked against what the nodes have.
+class ConfigurationAudit
+{
+public:
+    void publish(RegistryFleet &fleet)
+    {
+        fleet.publish();
+        m_publishedAt[fleet.publishedNumber()] = fleet.now();
+    }
+
+    /// A node in touch that goes on with an older configuration for too long.
+    [[nodiscard]] std::optional<std::size_t> findViolation(const RegistryFleet &fleet) const
+    {
+        for (const auto &[number, publishedAt] : m_publishedAt) {
+            if (fleet.now() <= publishedAt + MaxDelay) {
+                continue;
+            }
+            for (std::size_t node = 0; node < fleet.size(); ++node) {
+                if (!fleet.isLost(node) && fleet.isInTouch(node, InTouchWindow) && fleet.numberAt(node) < number) {
+                    return node;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+private:
+    std::map<TicketNumber, TimePoint> m_publishedAt;
+};
+
 /// The node that reads the registry for the others.
 std::size_t readerOf(const RegistryFleet &fleet)
 {
@@ -120,9 +150,9 @@
         }
     }
 
-    /// Runs to the end; calls \p check after each step.
-    template<class Check>
-    void run(const Check &check)
+    /// Runs to the end; fails if \p audit finds a violation after any step.
+    template<class Audit>
+    void run(const Audit &audit)
     {
         while (fleet.now() < at(21s)) {
             fleet.step();
@@ -130,7 +160,10 @@
                 events.begin()->second();
                 events.erase(events.begin());
             }
-            check();
+            if (const auto node = audit.findViolation(fleet)) {
+                RC_LOG() << "node " << *node << " at " << (fleet.now() - RegistryFleet::Start) / 1ms << "\n";
+                RC_FAIL("a node acts too late");
+            }
         }
     }
 
@@ -158,6 +191,61 @@
     }
 }
 
+// A node was cut off from the registry while the node of its zone that it reads at was lost for good. It left the
+// registry to its peers and called it only 3.2 s after the cut, so that it used an old configuration while in touch
+// (review/4).
+TEST(ReadScheduleTest, NodeWhosePeersAreLostReadsSoonAfterItsCut)
+{
+    for (Milliseconds cutEnd = 15s; cutEnd < 19s; cutEnd += 50ms) {
+        RegistryFleet fleet(4, 2);
+        fleet.runUntil(at(5s));
+        // Nodes 0 and 2 are in one zone.
+        const std::size_t cut = fleet.reads(0).upstreams().rank() > 0 ? 0 : 2;
+        const std::size_t upstream = 2 - cut;
+        fleet.cutOff(cut, {at(5s), at(cutEnd), FailureMode::Silent, true});
+        fleet.loseHost(upstream);
+        fleet.runUntil(at(9'500ms));
+        fleet.removeTarget(upstream);
+        fleet.runUntil(at(10s));
+        ConfigurationAudit audit;
+        audit.publish(fleet);
+        while (fleet.now() < at(cutEnd + 5s)) {
+            fleet.step();
+            ASSERT_FALSE(audit.findViolation(fleet)) << "the cut ends at " << cutEnd.count();
+        }
+    }
+}
+
+// In an outage of the registry the records of all targets expire; the targets register again once it is back.
+RC_GTEST_PROP(ReadScheduleProperty, NoNodeDropsTargetsThatRegisterAgainAfterAnOutage, ())
+{
+    RegistryFleet fleet(*rc::gen::inRange<std::size_t>(2, 6), *rc::gen::inRange<std::size_t>(1, 3));
+    const TimePoint back = at(anyTime(9'000, 14'000));
+    const Period outage {at(4s), back, *rc::gen::element(FailureMode::Silent, FailureMode::Reset)};
+    RC_LOG() << "outage from " << describe(outage) << "\n";
+    fleet.loseRegistry(outage);
+    fleet.runUntil(at(8'500ms));
+    for (std::size_t target = 0; target < fleet.size(); ++target) {
+        fleet.removeTarget(target);
+    }
+    std::multimap<TimePoint, std::size_t> registrations;
+    for (std::size_t target = 0; target < fleet.size(); ++target) {
+        registrations.emplace(back + anyTime(0, 1'000), target);
+    }
+    while (fleet.now() < at(20s)) {
+        fleet.step();
+        while (!registrations.empty() && registrations.begin()->first <= fleet.now()) {
+            fleet.registerTarget(registrations.begin()->second);
+            registrations.erase(registrations.begin());
+        }
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            for (std::size_t target = 0; target < fleet.size(); ++target) {
+                RC_ASSERT(fleet.usesTarget(node, target));
+            }
+        }
+    }
+}
+
 // Cuts of any node, outages of the registry, lost hosts and lost history, in any order: no node in touch uses a target
 // that left more than 2.5 s ago (review/2 and the drawn days in its claim).
 RC_GTEST_PROP(ReadScheduleProperty, NodesInTouchDropRemovedTargetsInTime, ())
@@ -170,11 +258,18 @@
         RC_LOG() << "target " << target << " is removed at " << time.count() << "\n";
         scenario.events.emplace(time, [&audit, &scenario, target] { audit.remove(scenario.fleet, target); });
     }
-    scenario.run([&] {
-        const auto node = audit.findViolation(scenario.fleet);
-        RC_LOG() << (node ? "node " + std::to_string(*node) + " at "
-                             + std::to_string((scenario.fleet.now() - RegistryFleet::Start) / 1ms) + "\n"
-                          : std::string());
-        RC_ASSERT(!node);
-    });
+    scenario.run(audit);
+}
+
+// The same disturbances: no node in touch goes on with a configuration that was replaced over 2.5 s ago (review/4).
+RC_GTEST_PROP(ReadScheduleProperty, NodesInTouchHaveTheNewestConfigurationInTime, ())
+{
+    Scenario scenario;
+    ConfigurationAudit audit;
+    for (int i = *rc::gen::inRange(1, 4); i > 0; --i) {
+        const Milliseconds time = anyTime(4'000, 16'000);
+        RC_LOG() << "a configuration is published at " << time.count() << "\n";
+        scenario.events.emplace(time, [&audit, &scenario] { audit.publish(scenario.fleet); });
+    }
+    scenario.run(audit);
 }
