[net] Bodies that nobody wants end at a limit

Callers would have seen: a refused call answered only at its deadline, as unknown, and other calls of the node slowed down, while a faulty target sends the body of a refusal, or of a response to another request, without end.

Cause: the size of a skipped body was compared with its limit only at its end, and the body of a refusal had none.

Fix: both are compared as bytes arrive. A refusal is then reported as such: its head was complete, so that the call has not run.

--- a/include/jasminemast/node/targetattempt.h
+++ b/include/jasminemast/node/targetattempt.h
@@ -76,6 +76,8 @@
     [[nodiscard]] ResultCode checkResponse(unsigned status, const HttpHeaders &headers) const;
     void onData(std::string_view bytes);
     void onDone(const HttpClientResult &result);
+    /// Ends the attempt with m_responseError.
+    void reportRefusal(const TargetTransfer *transfer);
     void forward(std::string_view bytes);
     [[nodiscard]] std::shared_ptr<const CachedResponse> makeCachedResponse() const;
 
@@ -83,6 +85,7 @@
     HeaderNames m_names;
     std::function<std::size_t()> m_window;
     ResultCode m_responseError = ResultCode::Ok; ///< why the response is not forwarded
+    std::size_t m_refusalBytes = 0; ///< body bytes of a response that is not forwarded
     TimePoint m_startedAt;
     Milliseconds m_timeout {0};
     std::string m_requestBody;
--- a/lib/net/targetconnection.cpp
+++ b/lib/net/targetconnection.cpp
@@ -252,6 +252,10 @@
             fail(error.code(), error.detail());
             return;
         }
+        if (m_transfer != nullptr && m_foreignBytes > m_client.m_limits.maxForeignBytes) {
+            fail(ResultCode::AnswerForeign, "response to another request without end");
+            return;
+        }
         if (m_transfer == nullptr || !m_parser.isComplete()) {
             break;
         }
@@ -319,8 +323,7 @@
         return;
     }
     const TargetClientLimits &limits = m_client.m_limits;
-    if (!m_socket.isOpen() || !m_parser.keepsConnection() || m_foreignResponses > limits.maxForeignResponses
-        || m_foreignBytes > limits.maxForeignBytes) {
+    if (!m_socket.isOpen() || !m_parser.keepsConnection() || m_foreignResponses > limits.maxForeignResponses) {
         fail(ResultCode::AnswerForeign, "no response but those to other requests");
         return;
     }
--- a/lib/node/targetattempt.cpp
+++ b/lib/node/targetattempt.cpp
@@ -13,6 +13,8 @@
 {
 
 constexpr unsigned StatusMisdirected = 421;
+/// Bytes of a refusal that are read, so that its connection can be used again.
+constexpr std::size_t MaxRefusalBytes = 64U << 10U;
 
 HttpHeaders requestHeaders(const OpenMessage &open, const HeaderNames &names, Milliseconds remaining)
 {
@@ -135,6 +137,12 @@
 void TargetAttempt::onData(std::string_view bytes)
 {
     if (m_responseError != ResultCode::Ok) {
+        m_refusalBytes += bytes.size();
+        if (m_refusalBytes > MaxRefusalBytes && m_transfer) {
+            const auto transfer = std::exchange(m_transfer, nullptr);
+            transfer->cancel();
+            reportRefusal(transfer.get());
+        }
         return;
     }
     if (m_cacheComplete && m_cachedBody.size() + bytes.size() <= FenceLimits {}.maxCachedResponseBytes) {
@@ -162,13 +170,18 @@
 {
     const auto transfer = std::exchange(m_transfer, nullptr);
     if (result.code == ResultCode::Ok && m_responseError != ResultCode::Ok) {
-        const bool mayHaveRun = transfer && transfer->mayHaveArrivedBefore();
-        m_onDone({mayHaveRun ? ResultCode::OutcomeUnknown : m_responseError, "", true}, nullptr);
+        reportRefusal(transfer.get());
         return;
     }
     m_onDone(result, result.code == ResultCode::Ok ? makeCachedResponse() : nullptr);
 }
 
+void TargetAttempt::reportRefusal(const TargetTransfer *transfer)
+{
+    const bool mayHaveRun = transfer != nullptr && transfer->mayHaveArrivedBefore();
+    m_onDone({mayHaveRun ? ResultCode::OutcomeUnknown : m_responseError, "", true}, nullptr);
+}
+
 std::shared_ptr<const CachedResponse> TargetAttempt::makeCachedResponse() const
 {
     if (!m_cacheComplete || !m_head) {
--- a/unittests/net/targetclienttest.cpp
+++ b/unittests/net/targetclienttest.cpp
@@ -320,6 +320,39 @@
     }
 }
 
+// A body to another request without end was read until the deadline of the own request.
+TEST_F(TargetClientTest, EndsForeignResponsesWithoutEnd)
+{
+    const std::string piece(4'096, 'x');
+    const std::vector<std::pair<std::string, std::string>> table = {
+        {"HTTP/1.1 200 OK\r\nX-Id: other\r\n\r\n", piece},
+        {"HTTP/1.1 200 OK\r\nX-Id: other\r\nContent-Length: 99999999999\r\n\r\n", piece},
+        {"HTTP/1.1 200 OK\r\nX-Id: other\r\nTransfer-Encoding: chunked\r\n\r\n", "1000\r\n" + piece + "\r\n"},
+    };
+    for (const auto &[head, endlessPiece] : table) {
+        SCOPED_TRACE(head);
+        const auto outcome = start(request("a"));
+        TestPeer peer = acceptPeer(m_loop, m_listener);
+        awaitRequest(peer, "a");
+        peer.write(head);
+        std::string unwritten;
+        std::size_t written = 0;
+        EXPECT_TRUE(runUntil(m_loop, [&] {
+            if (unwritten.empty()) {
+                unwritten = endlessPiece;
+            }
+            const std::size_t size = peer.write(unwritten);
+            unwritten.erase(0, size);
+            written += size;
+            return outcome->result.has_value() || written > (64U << 20U);
+        }));
+        ASSERT_TRUE(outcome->result) << "read " << written << " bytes";
+        EXPECT_EQ(outcome->result->code, ResultCode::AnswerForeign);
+        EXPECT_TRUE(outcome->body.empty());
+        EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed(); }));
+    }
+}
+
 TEST_F(TargetClientTest, StopsReadingWhilePausedAndEndsAtTheTimeout)
 {
     TargetClientRequest toSend = request("a");
--- a/unittests/node/targetattempttest.cpp
+++ b/unittests/node/targetattempttest.cpp
@@ -64,9 +64,18 @@
         const auto window = [this] {
             return responseWindow(m_queuedBytes);
         };
-        m_attempt->start(
-            m_http, TargetRequest {m_address, TimePoint(), 60'000ms, 60'000ms, {}, window, {}},
-            [this](const HttpClientResult &, const std::shared_ptr<const CachedResponse> &) { m_done = true; });
+        m_attempt->start(m_http, TargetRequest {m_address, TimePoint(), 60'000ms, 60'000ms, headerNames(), window, {}},
+                         [this](const HttpClientResult &result, const std::shared_ptr<const CachedResponse> &) {
+                             m_done = true;
+                             m_result = result.code;
+                         });
+    }
+
+    [[nodiscard]] HeaderNames headerNames() const
+    {
+        HeaderNames names;
+        names.notRun = m_notRunHeader;
+        return names;
     }
 
     /// Runs until nothing more arrives for some time.
@@ -94,7 +103,9 @@
     std::shared_ptr<CountingSink> m_sink = std::make_shared<CountingSink>();
     std::shared_ptr<TargetAttempt> m_attempt;
     std::size_t m_queuedBytes = 0;
+    std::string m_notRunHeader;
     bool m_done = false;
+    ResultCode m_result = ResultCode::Ok;
 };
 
 /// The client delivers pieces of up to this size, so that a window is exceeded by less than one piece.
@@ -122,6 +133,28 @@
     m_attempt->abort();
 }
 
+// The bytes of a refusal are read and dropped; without an end to them the attempt went on until its deadline, and its
+// outcome was unknown then.
+TEST_F(TargetAttemptTest, RefusalWithABodyWithoutEndIsReportedAtOnce)
+{
+    const SocketAddress address = testAddress();
+    TestListener listener(address);
+    m_address = address;
+    m_notRunHeader = "X-Not-Run";
+    start(0);
+    TestPeer peer = acceptPeer(m_loop, listener);
+    ASSERT_TRUE(runUntil(m_loop, [&] { return peer.received("\r\n\r\n"); }));
+    peer.write("HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\n\r\n");
+    std::size_t written = 0;
+    ASSERT_TRUE(runUntil(m_loop, [&] {
+        written += peer.write(std::string(65'536, 'x'));
+        return m_done || written > (64U << 20U);
+    }));
+    EXPECT_TRUE(m_done) << "read " << written << " bytes";
+    EXPECT_EQ(m_result, ResultCode::TargetShed);
+    EXPECT_TRUE(runUntil(m_loop, [&] { return peer.isClosed(); }));
+}
+
 TEST_F(TargetAttemptTest, ContinuesOnCreditAfterTheWindowShrank)
 {
     start(0);
