--- a/include/jasminemast/node/entryproxy.h
+++ b/include/jasminemast/node/entryproxy.h
@@ -12,6 +12,7 @@
 #include "jasminemast/node/views.h"
 #include "jasminemast/support/metrics.h"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <set>
@@ -56,6 +57,12 @@
     {
         m_draining = true;
     }
+    /// Decides whether a call with that deadline may begin now; one that may not is refused.
+    using Admission = std::function<bool(TimePoint deadline)>;
+    void setAdmission(Admission admission)
+    {
+        m_admission = std::move(admission);
+    }
     /// See EntryCore::limitDeadlines(). A call without a response gets a failure.
     void limitDeadlines(TimePoint latest, Duration withdrawTimeout);
 
@@ -123,6 +130,7 @@
     TimePoint m_appliedAt;
     TimePoint m_lastActivity;
     bool m_draining = false;
+    Admission m_admission; ///< empty: all calls may begin
     TimePoint m_latestDeadline = TimePoint::max(); ///< as in EntryCore
     Timer m_tickTimer;
 };
--- a/include/jasminemast/node/nodedrain.h
+++ b/include/jasminemast/node/nodedrain.h
@@ -60,6 +60,10 @@
     {
         return m_settings.grace.count() > 0;
     }
+    /// Whether a call of a caller that is read at \p now, with that \p deadline, may be passed on. After lingering,
+    /// only if it ends before the exit whatever happens to it: the caller had time to notice the draining, and what is
+    /// refused can be sent to another node.
+    [[nodiscard]] bool acceptsCall(TimePoint deadline, TimePoint now) const;
     /// When calls end that are still open; only if the node has an exit time.
     [[nodiscard]] TimePoint latestDeadline() const
     {
--- a/lib/call/fence.cpp
+++ b/lib/call/fence.cpp
@@ -34,6 +34,7 @@
     case ResultCode::PeerUnreachable:
     case ResultCode::TargetShed:
     case ResultCode::TargetReplaced:
+    case ResultCode::NodeLeaving:
         return true;
     default:
         return false;
--- a/lib/node/entryproxy.cpp
+++ b/lib/node/entryproxy.cpp
@@ -220,6 +220,12 @@
     const Duration timeout = std::min<Duration>(callerTimeout, route->timeout);
     spec.deadline = arrival.latest + timeout;
     spec.startDeadline = arrival.earliest + timeout;
+    if (m_admission && !m_admission(spec.deadline)) {
+        m_context.metrics.count(Counter::CallsNotRun, ResultCode::NodeLeaving);
+        respondWithFailure(*exchange, m_headers.names, state->number, Outcome::NotRun, ResultCode::NodeLeaving,
+                           failureHeaders(TimePoint::max()));
+        return;
+    }
     spec.priority = route->priority;
     const Duration observedTimeout = std::min(arrival.earliest + callerTimeout, m_latestDeadline) - arrival.earliest;
     const Duration callerWait = m_callerWait.observe(route->id, observedTimeout, arrival.earliest);
--- a/lib/node/node.cpp
+++ b/lib/node/node.cpp
@@ -221,6 +221,7 @@
     logEvent(Event::NodeDraining, {{"host", m_settings.self.host.value()}});
     m_drain.emplace(m_settings.drain, m_clock.now() - signalAge);
     m_control.beginDrain();
+    m_entryProxy.setAdmission([this](TimePoint deadline) { return m_drain->acceptsCall(deadline, m_clock.now()); });
     if (m_drain->hasExitTime()) {
         m_entryProxy.limitDeadlines(m_drain->latestDeadline(), m_drain->withdrawTimeout());
     }
--- a/lib/node/nodedrain.cpp
+++ b/lib/node/nodedrain.cpp
@@ -53,6 +53,14 @@
     return steps;
 }
 
+bool NodeDrain::acceptsCall(TimePoint deadline, TimePoint now) const
+{
+    if (!hasExitTime() || deadline <= latestDeadline()) {
+        return true;
+    }
+    return now < m_startedAt + std::min(m_settings.linger, m_settings.grace);
+}
+
 bool NodeDrain::canStopAcceptingLinks(const DrainWork &work, TimePoint now) const
 {
     // While attempts run, their nodes need a new link when one is lost.
--- a/unittests/node/entryproxytest.cpp
+++ b/unittests/node/entryproxytest.cpp
@@ -2,9 +2,12 @@
 // pauses.
 #include "jasminemast/node/entryproxy.h"
 
+#include "jasminemast/node/nodedrain.h"
+
 #include "../net/testpeer.h"
 #include "onetargetfleet.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 #include <thread>
@@ -224,6 +227,25 @@
     EXPECT_EQ(m_statuses, std::vector<unsigned> {504});
 }
 
+// A request on a kept connection was read late in the drain and passed on, and its call was cut at the exit (LOST).
+TEST_F(EntryProxyTest, DrainingNodeRefusesLateCallThatMayOutlastIt)
+{
+    const NodeDrain drain({0ms, 500ms, 5'000ms, 250ms}, m_clock.now());
+    m_entryProxy.setAdmission([&](TimePoint deadline) { return drain.acceptsCall(deadline, m_clock.now()); });
+    m_entryProxy.limitDeadlines(drain.latestDeadline(), 0ms);
+    m_entryProxy.beginDrain();
+    call({{"Jasminemast-Deadline-Ms", "4000"}});
+    ASSERT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 1; })) << "the caller cannot know yet";
+    m_clock.advance(4'200ms);
+    call({{"Jasminemast-Deadline-Ms", "3800"}});
+    EXPECT_TRUE(runUntil(m_loop, [&] { return !m_statuses.empty(); }));
+    EXPECT_EQ(m_statuses, std::vector<unsigned> {503});
+    EXPECT_EQ(m_openFrames, 1U);
+    EXPECT_THAT(m_body, testing::HasSubstr("4025"));
+    call({{"Jasminemast-Deadline-Ms", "300"}});
+    EXPECT_TRUE(runUntil(m_loop, [&] { return m_openFrames == 2; })) << "it ends before the exit";
+}
+
 TEST_F(EntryProxyTest, DrainingNodeForwardsResponseCompletely)
 {
     call();
--- a/unittests/node/nodedraintest.cpp
+++ b/unittests/node/nodedraintest.cpp
@@ -3,6 +3,7 @@
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <rapidcheck/gtest.h>
 
 using namespace jasminemast;
 using namespace std::chrono_literals;
@@ -154,3 +155,34 @@
     EXPECT_THAT(steps, Not(Contains(DrainStep::AnnounceExit)));
     EXPECT_THAT(drain.tick(runningAttempt(), Start + 11min), Not(Contains(DrainStep::StopAcceptingLinks)));
 }
+
+// Which calls a node with an exit time may still take, at any time, with any deadline and any settings.
+RC_GTEST_PROP(NodeDrainProperty, AcceptsNoLateCallThatMayOutlastTheNode, ())
+{
+    const auto anyTime = [](int maxMs) {
+        return Milliseconds(*rc::gen::inRange(0, maxMs));
+    };
+    const DrainSettings settings {anyTime(3'000), anyTime(6'000), anyTime(10'000), anyTime(500)};
+    const NodeDrain drain(settings, Start);
+    const TimePoint now = Start + anyTime(12'000);
+    const TimePoint deadline = now + anyTime(10'000);
+    const bool isAccepted = drain.acceptsCall(deadline, now);
+    const bool mayCallerBeUnaware = now < Start + std::min(settings.linger, settings.grace);
+    const bool endsInTime = deadline <= Start + settings.grace;
+    RC_ASSERT(isAccepted == (settings.grace == 0ms || mayCallerBeUnaware || endsInTime));
+    // What is accepted stays acceptable with an earlier deadline, or earlier.
+    if (isAccepted) {
+        RC_ASSERT(drain.acceptsCall(deadline - anyTime(1'000), now));
+        RC_ASSERT(drain.acceptsCall(deadline, now - anyTime(1'000)));
+    }
+}
+
+TEST(NodeDrainTest, RefusesLateCallsThatMayOutlastTheNode)
+{
+    const NodeDrain drain(WithExitTime, Start);
+    EXPECT_TRUE(drain.acceptsCall(Start + 60s, Start + 999ms)) << "the caller cannot know yet";
+    EXPECT_FALSE(drain.acceptsCall(Start + 60s, Start + 1s));
+    EXPECT_FALSE(drain.acceptsCall(Start + 5'001ms, Start + 1s));
+    EXPECT_TRUE(drain.acceptsCall(Start + 5s, Start + 1s)) << "it has its response before the exit";
+    EXPECT_TRUE(NodeDrain(WithoutExitTime, Start).acceptsCall(Start + 60s, Start + 59s)) << "the node waits for it";
+}
