--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -22,8 +22,8 @@
     /// Delay between the starts of the first failed call and the next one; doubled after each further failure.
     Milliseconds minRetryDelay {100};
     Milliseconds maxRetryDelay {700}; ///< bounds how late a change is seen after an outage
-    /// The same for a node that leaves the registry to its peers. They may be lost or cut off, and it must have read the
-    /// registry by itself 3 s after its own trouble has ended, in which a call of 1.5 s may have begun.
+    /// The same for a node that leaves the registry to its peers. They may be lost or cut off, and it must have read
+    /// the registry by itself 3 s after its own trouble has ended, in which a call of 1.5 s may have begun.
     Milliseconds maxStandbyRetryDelay {1'500};
     /// Time after an outage of the registry within which targets that were removed during it can register again.
     Milliseconds reregistrationGrace {2'000};
