[registry] A node whose calls are lost reads at its peers

Callers would have seen: an old configuration, and removed targets, for as long as the registry turns a node away in silence, though its peers have both.

Cause: since retry delays count from the start of the failed call. A call that times out takes longer than its delay, so that the next one began at once and the node never came to ask its peers.

Fix: 0.2 s for requests to peers after each failed call.

--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -27,6 +27,7 @@
     Milliseconds maxStandbyRetryDelay {1'500};
     /// Time after an outage of the registry within which targets that were removed during it can register again.
     Milliseconds reregistrationGrace {2'000};
+    Milliseconds minPeerTime {200}; ///< time for requests to peers between a failed call and the next one
     /// The records of live targets only expire in an outage of at least two intervals of their reports.
     Milliseconds minOutage {3'000};
     /// How long after the start of a failed call removals may still wait. If only this node was cut off, it must act on
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -108,7 +108,7 @@
     const Milliseconds delay = m_isStandby
         ? std::min(m_limits.minRetryDelay * factor * m_limits.standbyDelayFactor, m_limits.maxStandbyRetryDelay)
         : std::min(m_limits.minRetryDelay * factor, m_limits.maxRetryDelay);
-    m_nextCallAt = std::max(now, startedAt + delay);
+    m_nextCallAt = std::max(now + m_limits.minPeerTime, startedAt + delay);
     ++m_failures;
 }
 
--- a/unittests/registry/readscheduletest.cpp
+++ b/unittests/registry/readscheduletest.cpp
@@ -216,6 +216,22 @@
     }
 }
 
+// Retry delays that count from the start of the call left no time between calls that time out, so that a node whose
+// calls are lost never read at its peers.
+TEST(ReadScheduleTest, NodeWhoseCallsAreLostReadsAtItsPeers)
+{
+    for (const FailureMode mode : {FailureMode::Silent, FailureMode::Reset}) {
+        for (std::size_t cut = 0; cut < 4; ++cut) {
+            RegistryFleet fleet(4, 1);
+            fleet.cutOff(cut, {at(5s), at(15s), mode, true});
+            fleet.runUntil(at(8s));
+            fleet.publish();
+            fleet.runUntil(at(12s));
+            EXPECT_EQ(fleet.numberAt(cut), fleet.publishedNumber()) << cut;
+        }
+    }
+}
+
 // In an outage of the registry the records of all targets expire; the targets register again once it is back.
 RC_GTEST_PROP(ReadScheduleProperty, NoNodeDropsTargetsThatRegisterAgainAfterAnOutage, ())
 {
