[review] Case 7: a server that becomes cold again goes on getting the full rate

Nobody asks a server that is up whether it is cold. The stand-ins take a free loopback network: one run of case 6 beside others had met a port in use (exit 2).

--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -612,6 +612,20 @@
         const std::lock_guard lock(m_mutex);
         m_work = std::move(work);
     }
+    /// The server is cold from now on, for \p ms: its health responses say so at once, its entry with its next report.
+    void becomeCold(std::int64_t ms)
+    {
+        const std::lock_guard lock(m_mutex);
+        m_coldUntil = Clock::now() + Ms(ms);
+    }
+    /// Waits for the next report to the store.
+    void awaitReport()
+    {
+        const std::uint64_t before = m_sequence;
+        while (m_sequence == before) {
+            sleepMs(1);
+        }
+    }
     /// Reports that it leaves; returns when the store has accepted that.
     void drain()
     {
@@ -638,6 +652,11 @@
         const std::lock_guard lock(m_mutex);
         return m_runs;
     }
+    [[nodiscard]] std::uint64_t healthQuestions() const
+    {
+        const std::lock_guard lock(m_mutex);
+        return m_healthQuestions;
+    }
     [[nodiscard]] const ServerSettings &settings() const
     {
         return m_settings;
@@ -648,9 +667,11 @@
     {
         const std::lock_guard lock(m_reportMutex);
         bool draining = false;
+        std::int64_t coldMs = 0;
         {
             const std::lock_guard state(m_mutex);
             draining = m_draining;
+            coldMs = coldLeftMs();
         }
         m_store.put("servers/" + m_settings.id,
                     "{\"address\":\"" + m_settings.ip + ":" + std::to_string(m_settings.port) + "\",\"born\":"
@@ -658,7 +679,7 @@
                         + "\",\"version\":\"v1\",\"zone\":\"" + m_settings.zone + "\",\"slots\":"
                         + std::to_string(m_settings.slots) + "},\"status\":{\"state\":\""
                         + (draining ? "draining" : "ready") + "\",\"seq\":" + std::to_string(++m_sequence)
-                        + ",\"cold-left-ms\":0}}");
+                        + ",\"cold-left-ms\":" + std::to_string(coldMs) + "}}");
     }
 
     void beat()
@@ -672,6 +693,11 @@
         }
     }
 
+    [[nodiscard]] std::int64_t coldLeftMs() const
+    {
+        return std::max<std::int64_t>(0, std::chrono::duration_cast<Ms>(m_coldUntil - Clock::now()).count());
+    }
+
     [[nodiscard]] std::string loadHeader() const
     {
         return std::to_string(m_running) + "," + std::to_string(m_waiting) + "," + std::to_string(m_settings.slots)
@@ -693,12 +719,28 @@
             if (reader.readBody(head, body, Clock::now() + Ms(30'000), false) != ReadEnd::Complete) {
                 return;
             }
-            if (!answer(fd, head, body)) {
+            const bool isHealth = head.first.rfind("GET /healthz ", 0) == 0;
+            if (isHealth ? !answerHealth(fd) : !answer(fd, head, body)) {
                 return;
             }
         }
     }
 
+    bool answerHealth(int fd)
+    {
+        std::int64_t coldMs = 0;
+        bool draining = false;
+        {
+            const std::lock_guard lock(m_mutex);
+            coldMs = coldLeftMs();
+            draining = m_draining;
+            ++m_healthQuestions;
+        }
+        return sendAll(fd, std::string("HTTP/1.1 ") + (draining ? "503 Service Unavailable" : "200 OK")
+                           + "\r\nX-Instance-Id: " + m_settings.id + "\r\nX-Server-Load: " + load() + "\r\nX-Cold-Ms: "
+                           + std::to_string(coldMs) + "\r\nContent-Length: 0\r\n\r\n");
+    }
+
     bool respond(int fd, const Head &request, const std::string &status, const std::string &headers,
                  const std::string &body)
     {
@@ -808,7 +850,9 @@
     std::vector<Run> m_runs;
     unsigned m_running = 0;
     unsigned m_waiting = 0;
-    std::uint64_t m_sequence = 0;
+    std::atomic<std::uint64_t> m_sequence {0};
+    std::uint64_t m_healthQuestions = 0;
+    Clock::time_point m_coldUntil {};
     bool m_draining = false;
     std::atomic<bool> m_exited {false};
     std::unique_ptr<Listener> m_listener;
@@ -1133,7 +1177,7 @@
 };
 
 inline std::string configurationText(unsigned version, const std::vector<RouteText> &routes,
-                                     const std::set<std::string> &services, long maxBodyBytes = 67'108'864)
+                                     const std::set<std::string> &services, const std::string &serviceLimits = {})
 {
     char number[16];
     std::snprintf(number, sizeof(number), "%08x", version);
@@ -1147,11 +1191,12 @@
     }
     for (const std::string &service : services) {
         text += "{\"type-url\":\"services\",\"metadata\":{\"name\":\"" + service
-            + "\"},\"spec\":{\"health-path\":\"/healthz\",\"max-conns\":110,\"protocol\":\"h1\",\"tls\":false}},";
+            + "\"},\"spec\":{\"health-path\":\"/healthz\",\"max-conns\":110,\"protocol\":\"h1\",\"tls\":false"
+            + serviceLimits + "}},";
     }
     return text
-        + "{\"type-url\":\"limits\",\"metadata\":{},\"spec\":{\"max-header-bytes\":16384,\"max-body-bytes\":"
-        + std::to_string(maxBodyBytes) + ",\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}]}";
+        + "{\"type-url\":\"limits\",\"metadata\":{},\"spec\":{\"max-header-bytes\":16384,\"max-body-bytes\":67108864,"
+          "\"header-timeout-ms\":3000,\"idle-timeout-ms\":15000}}]}";
 }
 
 /// The machines of a small deployment, each with its server and its process of the system, and the store.
@@ -1165,16 +1210,7 @@
         , m_folder(std::move(folder))
         , m_machines(std::move(machines))
     {
-        const std::string network = "127." + std::to_string(64 + ::getpid() % 150) + ".0.";
-        m_storeIp = network + "200";
-        for (std::size_t i = 0; i < m_machines.size(); ++i) {
-            m_machines[i].ip = network + std::to_string(10 + i);
-            for (const std::uint16_t port : {ports.outbound, ports.ready, ports.app, ports.link}) {
-                if (!isPortFree(m_machines[i].ip, port)) {
-                    throw std::runtime_error("port in use: " + m_machines[i].ip + ":" + std::to_string(port));
-                }
-            }
-        }
+        chooseNetwork();
         store = std::make_unique<Store>(m_storeIp, ports.store);
         const std::string text = readFile(m_root + "/deploy/settings.json");
         for (const Machine &machine : m_machines) {
@@ -1201,6 +1237,26 @@
     std::unique_ptr<Store> store;
 
 private:
+    /// Takes a loopback network on which no port of the machines is in use.
+    void chooseNetwork()
+    {
+        constexpr int MaxTries = 20;
+        for (int i = 0; i < MaxTries; ++i) {
+            const std::string network = "127." + std::to_string(64 + (::getpid() + 11 * i) % 150) + ".0.";
+            m_storeIp = network + "200";
+            bool isFree = isPortFree(m_storeIp, ports.store);
+            for (std::size_t m = 0; m < m_machines.size(); ++m) {
+                m_machines[m].ip = network + std::to_string(10 + m);
+                for (const std::uint16_t port : {ports.outbound, ports.ready, ports.app, ports.link}) {
+                    isFree = isFree && isPortFree(m_machines[m].ip, port);
+                }
+            }
+            if (isFree) {
+                return;
+            }
+        }
+        throw std::runtime_error("no loopback network with free ports");
+    }
     [[nodiscard]] std::string settingsPath(const Machine &machine) const
     {
         return m_folder + "/" + machine.ip + ".json";
