--- a/review/standins-2/coldagain.cpp
+++ b/review/standins-2/coldagain.cpp
@@ -16,7 +16,8 @@
 constexpr unsigned Slots = 9;
 constexpr int Servers = 3;
 constexpr int Entries = 4;
-constexpr double RatePerServer = 78; // exportador on a usual day: exports, and look-ups that servers of circulacion make
+constexpr double RatePerServer
+    = 78; // exportador on a usual day: exports, and look-ups that servers of circulacion make
 constexpr int LookupsPerExport = 6;
 constexpr std::int64_t LookupWorkMs = 55;
 constexpr std::int64_t ExportWorkMs = 180;
@@ -47,10 +48,10 @@
         std::vector<std::unique_ptr<Process>> processes;
         for (std::size_t i = 0; i < deployment.machines().size(); ++i) {
             const Machine &machine = deployment.machines()[i];
-            servers.push_back(std::make_unique<Server>(ServerSettings {machine.ip, deployment.ports.app,
-                                                                       "i-" + std::to_string(i), machine.service,
-                                                                       machine.zone, Slots, 36, 1'500, true},
-                                                       *deployment.store));
+            servers.push_back(
+                std::make_unique<Server>(ServerSettings {machine.ip, deployment.ports.app, "i-" + std::to_string(i),
+                                                         machine.service, machine.zone, Slots, 36, 1'500, true},
+                                         *deployment.store));
             servers.back()->setWork([](const Head &head) {
                 return head.first.find("/export/") == std::string::npos ? LookupWorkMs : ExportWorkMs;
             });
@@ -98,8 +99,9 @@
         const std::uint64_t questions = server.healthQuestions();
         if (hasTrouble()) {
             server.becomeCold(ColdMs);
-            record.line("server i-0 is cold for %lld ms; its health responses say so, and its entry from its next report on",
-                        static_cast<long long>(ColdMs));
+            record.line(
+                "server i-0 is cold for %lld ms; its health responses say so, and its entry from its next report on",
+                static_cast<long long>(ColdMs));
         }
         sleepMs(ColdMs + 1'000);
         stopping = true;
@@ -132,10 +134,11 @@
         }
         const double bound = ColdPerSecond * ColdOver + ColdSlack;
         const bool isBroken = hasTrouble() && static_cast<double>(most) > bound;
-        record.line("most requests in one second at i-0, of those sent and arrived inside it%s: %zu, from %lld ms after it "
-                    "became cold on; the bound for a cold server is %.2f; health questions meanwhile: %llu",
-                    hasTrouble() ? "" : " (it did not become cold)", most, static_cast<long long>(mostAt - coldAt), bound,
-                    static_cast<unsigned long long>(server.healthQuestions() - questions));
+        record.line(
+            "most requests in one second at i-0, of those sent and arrived inside it%s: %zu, from %lld ms after it "
+            "became cold on; the bound for a cold server is %.2f; health questions meanwhile: %llu",
+            hasTrouble() ? "" : " (it did not become cold)", most, static_cast<long long>(mostAt - coldAt), bound,
+            static_cast<unsigned long long>(server.healthQuestions() - questions));
         return isBroken ? 1 : 0;
     } catch (const std::exception &error) {
         std::fprintf(stderr, "%s\n", error.what());
--- a/review/standins-2/drainqueue.cpp
+++ b/review/standins-2/drainqueue.cpp
@@ -47,10 +47,10 @@
         std::vector<std::unique_ptr<Process>> processes;
         for (std::size_t i = 0; i < deployment.machines().size(); ++i) {
             const Machine &machine = deployment.machines()[i];
-            servers.push_back(std::make_unique<Server>(ServerSettings {machine.ip, deployment.ports.app,
-                                                                       "i-" + std::to_string(i), machine.service,
-                                                                       machine.zone, Slots, 36, 20'000, true},
-                                                       *deployment.store));
+            servers.push_back(
+                std::make_unique<Server>(ServerSettings {machine.ip, deployment.ports.app, "i-" + std::to_string(i),
+                                                         machine.service, machine.zone, Slots, 36, 20'000, true},
+                                         *deployment.store));
             servers.back()->setWork([](const Head &) { return WorkMs; });
             processes.push_back(deployment.startProcess(i));
         }
@@ -69,7 +69,8 @@
         std::thread events([&] {
             sleepMs(slowAt - nowMs());
             if (trouble) {
-                record.line("server i-0 becomes slow: its work takes %lld times as long", static_cast<long long>(SlowFactor));
+                record.line("server i-0 becomes slow: its work takes %lld times as long",
+                            static_cast<long long>(SlowFactor));
                 servers[0]->setWork([](const Head &) { return WorkMs * SlowFactor; });
             }
             sleepMs(drainAt - nowMs());
@@ -89,7 +90,8 @@
             sleepMs(static_cast<std::int64_t>(next) - nowMs());
             requests.emplace_back([&, n] {
                 const std::string id = "r" + std::to_string(n);
-                Connection connection(deployment.machines()[3 + static_cast<std::size_t>(n % Entries)].ip, deployment.ports.outbound);
+                Connection connection(deployment.machines()[3 + static_cast<std::size_t>(n % Entries)].ip,
+                                      deployment.ports.outbound);
                 if (!connection.open()) {
                     return;
                 }
@@ -109,7 +111,8 @@
                 late += isLate ? 1 : 0;
                 record.line("%s%s sent at %lld ms, reached %s at %lld ms, %s at %lld ms", isLate ? "DRAIN " : "",
                             run.id.c_str(), static_cast<long long>(answers[run.id].sentMs), run.server.c_str(),
-                            static_cast<long long>(run.arrivedMs), run.end.c_str(), static_cast<long long>(run.endedMs));
+                            static_cast<long long>(run.arrivedMs), run.end.c_str(),
+                            static_cast<long long>(run.endedMs));
             }
         }
         std::map<int, int> statuses;
--- a/review/standins-2/lab.h
+++ b/review/standins-2/lab.h
@@ -506,9 +506,8 @@
         const auto concerns = [&](const Event &event) {
             return event.revision > after && event.key.rfind(prefix, 0) == 0;
         };
-        m_changed.wait_until(lock, until, [&] {
-            return m_stopping || std::any_of(m_events.begin(), m_events.end(), concerns);
-        });
+        m_changed.wait_until(lock, until,
+                             [&] { return m_stopping || std::any_of(m_events.begin(), m_events.end(), concerns); });
         std::string events;
         for (const Event &event : m_events) {
             if (!concerns(event)) {
@@ -543,7 +542,8 @@
                 body = "{}";
             }
             sleepMs(4); // the store's usual time for an answer
-            if (!sendAll(fd, "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
+            if (!sendAll(fd,
+                         "HTTP/1.1 " + status + "\r\nContent-Type: application/json\r\nContent-Length: "
                              + std::to_string(body.size()) + "\r\n\r\n" + body)) {
                 return;
             }
@@ -674,10 +674,10 @@
             coldMs = coldLeftMs();
         }
         m_store.put("servers/" + m_settings.id,
-                    "{\"address\":\"" + m_settings.ip + ":" + std::to_string(m_settings.port) + "\",\"born\":"
-                        + std::to_string(m_born) + ",\"info\":{\"service\":\"" + m_settings.service
-                        + "\",\"version\":\"v1\",\"zone\":\"" + m_settings.zone + "\",\"slots\":"
-                        + std::to_string(m_settings.slots) + "},\"status\":{\"state\":\""
+                    "{\"address\":\"" + m_settings.ip + ":" + std::to_string(m_settings.port)
+                        + "\",\"born\":" + std::to_string(m_born) + ",\"info\":{\"service\":\"" + m_settings.service
+                        + "\",\"version\":\"v1\",\"zone\":\"" + m_settings.zone
+                        + "\",\"slots\":" + std::to_string(m_settings.slots) + "},\"status\":{\"state\":\""
                         + (draining ? "draining" : "ready") + "\",\"seq\":" + std::to_string(++m_sequence)
                         + ",\"cold-left-ms\":" + std::to_string(coldMs) + "}}");
     }
@@ -736,15 +736,17 @@
             draining = m_draining;
             ++m_healthQuestions;
         }
-        return sendAll(fd, std::string("HTTP/1.1 ") + (draining ? "503 Service Unavailable" : "200 OK")
-                           + "\r\nX-Instance-Id: " + m_settings.id + "\r\nX-Server-Load: " + load() + "\r\nX-Cold-Ms: "
-                           + std::to_string(coldMs) + "\r\nContent-Length: 0\r\n\r\n");
+        return sendAll(fd,
+                       std::string("HTTP/1.1 ") + (draining ? "503 Service Unavailable" : "200 OK")
+                           + "\r\nX-Instance-Id: " + m_settings.id + "\r\nX-Server-Load: " + load()
+                           + "\r\nX-Cold-Ms: " + std::to_string(coldMs) + "\r\nContent-Length: 0\r\n\r\n");
     }
 
     bool respond(int fd, const Head &request, const std::string &status, const std::string &headers,
                  const std::string &body)
     {
-        return sendAll(fd, "HTTP/1.1 " + status + "\r\nX-Request-Id: " + request.get("X-Request-Id")
+        return sendAll(fd,
+                       "HTTP/1.1 " + status + "\r\nX-Request-Id: " + request.get("X-Request-Id")
                            + "\r\nX-Instance-Id: " + m_settings.id + "\r\nX-Server-Load: " + load() + "\r\n" + headers
                            + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
     }
@@ -929,8 +931,7 @@
     replaceAll("{{platform.address}}", storeIp + ":" + std::to_string(ports.store));
     replaceAll("{{limits.link-mbps}}", number(linkMbps));
     if (text.find("{{") != std::string::npos) {
-        throw std::runtime_error("unknown placeholder in deploy/settings.json: "
-                                 + text.substr(text.find("{{"), 40));
+        throw std::runtime_error("unknown placeholder in deploy/settings.json: " + text.substr(text.find("{{"), 40));
     }
     return text;
 }
@@ -1183,8 +1184,8 @@
     std::snprintf(number, sizeof(number), "%08x", version);
     std::string text = std::string("{\"version\":\"") + number + "\",\"resources\":[";
     for (const RouteText &route : routes) {
-        text += "{\"type-url\":\"routes\",\"metadata\":{\"name\":\"" + route.name + "\"},\"spec\":{\"host\":\"" + route.host
-            + "\",\"prefix\":\"" + route.prefix + "\",\"kind\":\"" + route.kind + "\",\"timeout-ms\":"
+        text += "{\"type-url\":\"routes\",\"metadata\":{\"name\":\"" + route.name + "\"},\"spec\":{\"host\":\""
+            + route.host + "\",\"prefix\":\"" + route.prefix + "\",\"kind\":\"" + route.kind + "\",\"timeout-ms\":"
             + std::to_string(route.timeoutMs) + ",\"target-latency-ms\":" + std::to_string(route.targetLatencyMs)
             + ",\"priority\":" + std::to_string(route.priority) + ",\"service\":\"" + route.service
             + "\",\"attempts\":" + std::to_string(route.attempts) + "}},";
--- a/review/standins-2/longprefix.cpp
+++ b/review/standins-2/longprefix.cpp
@@ -44,9 +44,10 @@
         std::vector<std::unique_ptr<Process>> processes;
         for (std::size_t i = 0; i < deployment.machines().size(); ++i) {
             const Machine &machine = deployment.machines()[i];
-            servers.push_back(std::make_unique<Server>(
-                ServerSettings {machine.ip, deployment.ports.app, "i-" + machine.service, machine.service, machine.zone},
-                *deployment.store));
+            servers.push_back(
+                std::make_unique<Server>(ServerSettings {machine.ip, deployment.ports.app, "i-" + machine.service,
+                                                         machine.service, machine.zone},
+                                         *deployment.store));
             servers.back()->setWork([](const Head &) { return 20; });
             processes.push_back(deployment.startProcess(i));
         }
@@ -71,17 +72,19 @@
                 const bool isOlder = answer.sentMs > acknowledgedMs + ConfigApplyMs
                     && (answer.status == 404 || (answer.status == 200 && by != "i-" + expectedService));
                 broken += isOlder ? 1 : 0;
-                record.line("%s%s sent to %s for route %s, %lld ms after version %u was acknowledged: status %d, run by %s",
-                            isOlder ? "CONFIG " : "", id.c_str(), machine.ip.c_str(), route.name.c_str(),
-                            static_cast<long long>(answer.sentMs - acknowledgedMs), version, answer.status,
-                            by.empty() ? "none" : by.c_str());
+                record.line(
+                    "%s%s sent to %s for route %s, %lld ms after version %u was acknowledged: status %d, run by %s",
+                    isOlder ? "CONFIG " : "", id.c_str(), machine.ip.c_str(), route.name.c_str(),
+                    static_cast<long long>(answer.sentMs - acknowledgedMs), version, answer.status,
+                    by.empty() ? "none" : by.c_str());
             }
         };
         sleepMs(1'000);
         ask(browse, "vetrina", nowMs(), 7);
         deployment.store->put("op/config", configurationText(9, {browse, sheets}, services));
         const std::int64_t added = nowMs();
-        record.line("version 9 is acknowledged: it adds %s with a prefix of %zu bytes", sheets.name.c_str(), prefix.size());
+        record.line("version 9 is acknowledged: it adds %s with a prefix of %zu bytes", sheets.name.c_str(),
+                    prefix.size());
         for (int i = 0; i < 6; ++i) {
             sleepMs(1'000);
             ask(sheets, "catalogo", added, 9);
