--- a/review/standins-2/drainqueue.cpp
+++ b/review/standins-2/drainqueue.cpp
@@ -18,7 +18,10 @@
 constexpr int Entries = 10; ///< machines on which clients run
 constexpr std::int64_t SlowFactor = 12; // srv_slow: share 0.4, x 12, 9 s
 constexpr std::int64_t SlowForMs = 9'000;
-constexpr double RatePerServer = 73.5 / 6 * 2.6; // with burst: class catalogue-export, x 2.6
+constexpr int Exporters = 4; ///< one of them is slow and leaves: share 0.25 (srv_slow: 0.4, scale_in: 0.25)
+constexpr double RatePerServer = 73.5 / 6;
+constexpr double BurstFactor = 2.6; // burst: class catalogue-export, x 2.6, 6 s
+constexpr std::int64_t BurstForMs = 6'000;
 
 } // namespace
 
@@ -31,7 +34,7 @@
         Record record(argv[3]);
         const bool trouble = hasTrouble();
         std::vector<Machine> machines;
-        for (int i = 0; i < 3; ++i) {
+        for (int i = 0; i < Exporters; ++i) {
             machines.push_back({"", "bog-a", "bogota", "exportador"});
         }
         for (int i = 0; i < Entries; ++i) {
@@ -81,16 +84,18 @@
             record.line("server i-0 exits");
             servers[0]->exit();
         });
-        const double perMs = RatePerServer * 3 / 1000;
+        const double perMs = RatePerServer * Exporters / 1000;
+        const std::int64_t burstAt = slowAt - 1'000;
         std::mt19937 random(1);
         std::exponential_distribution<double> gap(perMs);
         double next = static_cast<double>(nowMs());
         for (int n = 0; nowMs() < endAt; ++n) {
-            next += gap(random);
+            const bool isBurst = trouble && nowMs() >= burstAt && nowMs() < burstAt + BurstForMs;
+            next += gap(random) / (isBurst ? BurstFactor : 1);
             sleepMs(static_cast<std::int64_t>(next) - nowMs());
             requests.emplace_back([&, n] {
                 const std::string id = "r" + std::to_string(n);
-                Connection connection(deployment.machines()[3 + static_cast<std::size_t>(n % Entries)].ip,
+                Connection connection(deployment.machines()[static_cast<std::size_t>(Exporters + n % Entries)].ip,
                                       deployment.ports.outbound);
                 if (!connection.open()) {
                     return;
--- a/review/standins-2/longprefix.cpp
+++ b/review/standins-2/longprefix.cpp
@@ -79,7 +79,7 @@
                     by.empty() ? "none" : by.c_str());
             }
         };
-        sleepMs(1'000);
+        sleepMs(4'000); // all machines have been in touch for stable-window-ms (3,000)
         ask(browse, "vetrina", nowMs(), 7);
         deployment.store->put("op/config", configurationText(9, {browse, sheets}, services));
         const std::int64_t added = nowMs();
