--- a/unittests/registry/registryfleet.cpp
+++ b/unittests/registry/registryfleet.cpp
@@ -23,37 +23,60 @@
     return EndpointId("t" + std::to_string(index));
 }
 
+PublishedConfiguration emptyConfiguration(TicketNumber number)
+{
+    PublishedConfiguration result;
+    result.number = number;
+    result.services = {ServiceId("s")};
+    return result;
+}
+
 } // namespace
 
 RegistryFleet::RegistryFleet(std::size_t nodes, std::size_t zones)
     : m_zones(zones)
     , m_nodes(nodes)
+    , m_configuration(emptyConfiguration(m_number))
 {
     for (std::size_t i = 0; i < nodes; ++i) {
         registerTarget(i);
-        SimulatedNode &node = m_nodes[i];
-        node.reads
-            = std::make_unique<ReadSchedule>(RegistryPeer {HostId("10.0.0." + std::to_string(i)),
-                                                           ZoneId("z" + std::to_string(i % zones)), RegionId("r")},
-                                             [](const ZoneId &) { return RegionId("r"); });
-        node.server = std::make_unique<SyncServer>(node.reads->follower());
-        node.reads->start(m_now);
-        node.nextAt = m_now;
+        start(i);
     }
 }
 
-PublishedConfiguration RegistryFleet::configuration() const
+void RegistryFleet::start(std::size_t index)
 {
-    PublishedConfiguration result;
-    result.number = m_number;
-    result.services = {ServiceId("s")};
-    return result;
+    SimulatedNode &node = m_nodes.at(index);
+    node.request.reset();
+    node.server.reset();
+    node.reads
+        = std::make_unique<ReadSchedule>(RegistryPeer {HostId("10.0.0." + std::to_string(index)),
+                                                       ZoneId("z" + std::to_string(index % m_zones)), RegionId("r")},
+                                         [](const ZoneId &) { return RegionId("r"); });
+    node.server = std::make_unique<SyncServer>(node.reads->follower());
+    node.reads->start(m_now);
+    node.nextAt = m_now;
+    node.passedOnChanges = 0;
+    node.passedOnListing = false;
+}
+
+void RegistryFleet::restart(std::size_t node)
+{
+    start(node);
 }
 
 void RegistryFleet::publish()
 {
-    m_number = TicketNumber(m_number.value() + 1);
-    m_history.emplace_back(++m_revision, configuration());
+    publish(emptyConfiguration(TicketNumber(m_number.value() + 1)));
+}
+
+void RegistryFleet::publish(RegistryRecord configuration)
+{
+    if (const auto *published = std::get_if<PublishedConfiguration>(&configuration)) {
+        m_number = published->number;
+    }
+    m_configuration = std::move(configuration);
+    m_history.emplace_back(++m_revision, m_configuration);
 }
 
 void RegistryFleet::removeTarget(std::size_t index)
@@ -151,7 +174,7 @@
 {
     RegistryResponse response;
     response.revision = Revision(m_revision);
-    response.records.emplace_back(configuration());
+    response.records.push_back(m_configuration);
     for (const auto &[id, target] : m_targets) {
         response.records.emplace_back(target);
     }
--- a/unittests/registry/registryfleet.h
+++ b/unittests/registry/registryfleet.h
@@ -60,6 +60,8 @@
 
     // Changes that the registry acknowledges now.
     void publish();
+    /// The same for a configuration, or an InvalidRecord in its place.
+    void publish(RegistryRecord configuration);
     void removeTarget(std::size_t index);
     void registerTarget(std::size_t index);
     /// Discards the change history.
@@ -70,6 +72,9 @@
         m_nodes.at(node).isLost = true;
     }
 
+    /// The process on that host ends, and a new one starts.
+    void restart(std::size_t node);
+
     [[nodiscard]] TimePoint now() const
     {
         return m_now;
@@ -141,7 +146,7 @@
     void deliver(std::size_t from, const SyncServer::Replies &replies);
     [[nodiscard]] RegistryResponse listing() const;
     [[nodiscard]] RegistryResponse changesAfter(Revision revision) const;
-    [[nodiscard]] PublishedConfiguration configuration() const;
+    void start(std::size_t index);
     [[nodiscard]] std::optional<std::size_t> indexOf(const HostId &host) const;
 
     TimePoint m_now = Start;
@@ -151,6 +156,7 @@
     std::uint64_t m_revision = 10;
     std::uint64_t m_oldestRevision = 0; ///< changes up to it are gone
     TicketNumber m_number {1};
+    RegistryRecord m_configuration;
     std::map<EndpointId, RegisteredTarget> m_targets;
     std::map<std::size_t, std::uint64_t> m_sequences;
     std::vector<std::pair<std::uint64_t, RegistryRecord>> m_history;
