[registry] A node that starts beside a refused configuration takes that of a peer

Cause: the first node of a region reads the registry itself. Its listing is complete and fresh, so that ReadSchedule has no reason to ask a peer, and the nodes that read at it get nothing either.

Evidence: with chooseForConfiguration() taken out, NodeThatStartsBesideARefusedConfigurationGetsThatOfItsPeers fails (configuration 0 in place of 1 on the nodes); with it the test passes. The reader's calls to the registry stay below 20 in 10 s meanwhile.

Why this works: RegistryFollower keeps the number of a refused newer configuration. While the node has no configuration itself, it asks another peer of the fleet every 0.2 s between its own reads, without waiting there.

--- a/include/jasminemast/registry/readschedule.h
+++ b/include/jasminemast/registry/readschedule.h
@@ -82,7 +82,9 @@
 
 private:
     [[nodiscard]] ReadAction choose(TimePoint now);
-    [[nodiscard]] ReadAction askPeer(const HostId &host, TimePoint now);
+    [[nodiscard]] ReadAction askPeer(const HostId &host, Milliseconds wait, TimePoint now);
+    /// A host to ask for a configuration because that of the registry is refused and this node has none.
+    [[nodiscard]] std::optional<HostId> chooseForConfiguration(TimePoint now);
     void applyReply(const HostId &host, const SyncReply &reply, TimePoint now);
     void endDiscovery(TimePoint now);
     /// True if the records are so old that this node is to read the registry itself.
@@ -102,6 +104,8 @@
     bool m_isDiscovering = true;
     TimePoint m_peerRequestedAt;
     TimePoint m_nextRequestAt; ///< earliest time of the next request to a peer or the registry
+    TimePoint m_configurationAskedAt; ///< when a peer was last asked by chooseForConfiguration()
+    std::size_t m_configurationPeers = 0; ///< number of peers that were asked by it
     TimePoint m_confirmedAt; ///< when the registry last confirmed the records
     std::optional<std::uint64_t> m_peersChanges; ///< value of m_follower.changes() that m_upstreams reflects
 };
--- a/include/jasminemast/registry/registryfollower.h
+++ b/include/jasminemast/registry/registryfollower.h
@@ -127,6 +127,12 @@
     {
         return m_configuration;
     }
+    /// Number of a configuration that the registry has and that was refused, if it is newer than configuration(); 0 if
+    /// its number could not be read.
+    [[nodiscard]] const std::optional<TicketNumber> &refusedConfiguration() const
+    {
+        return m_refusedConfiguration;
+    }
     /// All targets in use, also those that are retained.
     [[nodiscard]] const std::map<EndpointId, KnownTarget> &targets() const
     {
@@ -215,6 +221,7 @@
     /// The registry was reachable at \p when, for this node or a peer.
     void onConfirmed(TimePoint when);
     void setConfiguration(PublishedConfiguration configuration);
+    void onInvalidRecord(InvalidRecord record);
     void recordTargetChange(const EndpointId &id);
     void onPage(RegistryResponse &response, TimePoint now);
     void endListing(TimePoint now);
@@ -228,6 +235,7 @@
     RegistryFollowerLimits m_limits;
     std::shared_ptr<const PublishedConfiguration> m_configuration;
     std::set<ServiceId> m_services; ///< of m_configuration
+    std::optional<TicketNumber> m_refusedConfiguration; ///< as refusedConfiguration() returns
     std::map<EndpointId, KnownTarget> m_targets;
     std::map<EndpointId, RetainedTarget> m_retained; ///< their targets are in m_targets
     /// Last reports of removed targets, so that a late report does not add them again.
--- a/include/jasminemast/registry/registrysource.h
+++ b/include/jasminemast/registry/registrysource.h
@@ -116,6 +116,8 @@
     ResultCode code = ResultCode::RegistryRecordMalformed;
     std::string detail; ///< key and cause
     std::optional<EndpointId> target; ///< set when the record is that of a target
+    /// Set when the record is a configuration: its number, 0 if that cannot be read.
+    std::optional<TicketNumber> configuration {};
 };
 
 using RegistryRecord
--- a/include/jasminemast/registry/upstreamselector.h
+++ b/include/jasminemast/registry/upstreamselector.h
@@ -47,6 +47,11 @@
     /// The host to read at while the registry fails: also hosts that come after this node, which may be at this node in
     /// turn, so that their records must be as recent as they say.
     [[nodiscard]] std::optional<HostId> chooseFallback(TimePoint now) const;
+    /// All hosts of the tree, in an order that does not depend on the node.
+    [[nodiscard]] const std::vector<RegistryPeer> &peers() const
+    {
+        return m_peers;
+    }
     /// Does not choose \p host before \p until.
     void exclude(const HostId &host, TimePoint until);
     /// When an excluded candidate can be chosen again; TimePoint::max() if none is excluded.
--- a/lib/registry/readschedule.cpp
+++ b/lib/registry/readschedule.cpp
@@ -22,6 +22,8 @@
 /// How often a node whose own target has not registered looks for peers.
 constexpr Milliseconds DiscoveryInterval {400};
 constexpr Milliseconds FailedPeerExclusion {1'000};
+/// How often a node whose registry has only a configuration that is refused asks one of its peers for an earlier one.
+constexpr Milliseconds ConfigurationInterval {200};
 constexpr Milliseconds OldPeerExclusion {100};
 /// During a long outage of the registry peers are asked less often.
 constexpr Milliseconds OutageAge {4'000};
@@ -74,12 +76,16 @@
     if (wait == nullptr && areRecordsOld(now)) {
         return asReadAction(action);
     }
+    if (const auto host = chooseForConfiguration(now)) {
+        return askPeer(*host, Milliseconds(0), now);
+    }
+    const Milliseconds peerWait = m_isDiscovering ? Milliseconds(0) : PeerWait;
     if (const auto host = m_upstreams.choose(now)) {
-        return askPeer(*host, now);
+        return askPeer(*host, peerWait, now);
     }
     const auto fallback = wait != nullptr && areRecordsOld(now) ? m_upstreams.chooseFallback(now) : std::nullopt;
     if (fallback) {
-        return askPeer(*fallback, now);
+        return askPeer(*fallback, peerWait, now);
     }
     if (wait != nullptr) {
         return registryaction::Wait {std::min(wait->until, m_upstreams.nextAvailable(now))};
@@ -93,7 +99,19 @@
     return readaction::DiscoverPeers {m_discoverAfter};
 }
 
-ReadAction ReadSchedule::askPeer(const HostId &host, TimePoint now)
+std::optional<HostId> ReadSchedule::chooseForConfiguration(TimePoint now)
+{
+    const std::vector<RegistryPeer> &peers = m_upstreams.peers();
+    const bool isMissing = m_follower.isListed() && !m_follower.configuration() && m_follower.refusedConfiguration();
+    if (!isMissing || peers.empty() || now - m_configurationAskedAt < ConfigurationInterval) {
+        return std::nullopt;
+    }
+    m_configurationAskedAt = now;
+    const RegistryPeer &peer = peers[m_configurationPeers++ % peers.size()];
+    return peer.host == m_self.host ? std::nullopt : std::optional(peer.host);
+}
+
+ReadAction ReadSchedule::askPeer(const HostId &host, Milliseconds wait, TimePoint now)
 {
     m_peerRequestedAt = now;
     SyncRequest request;
@@ -101,7 +119,7 @@
     request.number = m_follower.configuration() ? m_follower.configuration()->number : TicketNumber(0);
     request.revision = m_follower.revision();
     request.recordsDigest = m_follower.recordsDigest();
-    request.waitMs = m_isDiscovering ? 0 : static_cast<std::uint32_t>(PeerWait.count());
+    request.waitMs = static_cast<std::uint32_t>(wait.count());
     // Stops waiting for the peer once the records are old and the registry can be called.
     const TimePoint giveUpAt = std::max({now, m_confirmedAt + maxAge(), m_follower.nextCallAt()});
     return readaction::AskPeer {host, request, giveUpAt};
--- a/lib/registry/registryfollower.cpp
+++ b/lib/registry/registryfollower.cpp
@@ -219,6 +219,7 @@
                 if (m_configuration && m_configuration->number < concrete.number) {
                     shareRoutes(concrete, *m_configuration);
                 }
+                m_refusedConfiguration.reset();
                 setConfiguration(std::move(concrete));
             } else if constexpr (std::is_same_v<Record, RegisteredTarget>) {
                 applyTarget(concrete, now);
@@ -227,22 +228,35 @@
             } else if constexpr (std::is_same_v<Record, ZoneEvacuation>) {
                 countChange(m_evacuations.apply(concrete, now));
             } else {
-                // A target whose record is invalid must not be used.
-                if (concrete.target) {
-                    remove(*concrete.target);
-                }
-                m_invalidRecords.push_back(std::move(concrete));
+                onInvalidRecord(std::move(concrete));
             }
         },
         record);
 }
 
+void RegistryFollower::onInvalidRecord(InvalidRecord record)
+{
+    // A target whose record is invalid must not be used.
+    if (record.target) {
+        remove(*record.target);
+    }
+    const TicketNumber refused = record.configuration.value_or(TicketNumber(0));
+    if (record.configuration && (refused == TicketNumber(0) || refused > number())) {
+        m_refusedConfiguration = refused;
+    }
+    m_invalidRecords.push_back(std::move(record));
+}
+
 void RegistryFollower::setConfiguration(PublishedConfiguration configuration)
 {
     if (!m_configuration || m_configuration->number < configuration.number) {
         m_configuration = std::make_shared<const PublishedConfiguration>(std::move(configuration));
         m_services = {m_configuration->services.begin(), m_configuration->services.end()};
         ++m_changes;
+        // A number that could not be read may be newer still.
+        if (m_refusedConfiguration > TicketNumber(0) && m_refusedConfiguration <= number()) {
+            m_refusedConfiguration.reset();
+        }
     }
 }
 
--- a/unittests/registry/readscheduletest.cpp
+++ b/unittests/registry/readscheduletest.cpp
@@ -216,6 +216,52 @@
     }
 }
 
+// Guards against a node that never becomes ready since the registry only has a configuration that is refused.
+TEST(ReadScheduleTest, NodeThatStartsBesideARefusedConfigurationGetsThatOfItsPeers)
+{
+    for (const TicketNumber number : {TicketNumber(9), TicketNumber(0)}) {
+        RegistryFleet fleet(3, 1);
+        fleet.runUntil(at(4'000ms));
+        const std::size_t reader = readerOf(fleet);
+        InvalidRecord refused;
+        refused.configuration = number;
+        fleet.publish(refused);
+        fleet.runUntil(at(6'000ms));
+        EXPECT_TRUE(fleet.reads(reader).follower().refusedConfiguration().has_value());
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            fleet.restart(node);
+            fleet.runUntil(fleet.now() + 3'000ms);
+            EXPECT_EQ(fleet.numberAt(node), TicketNumber(1)) << "node " << node << " of which " << reader << " reads";
+        }
+        const std::size_t calls = fleet.registryCalls();
+        fleet.runUntil(fleet.now() + 10'000ms);
+        EXPECT_LT(fleet.registryCalls() - calls, 20U) << "the reader watches as before";
+        fleet.publish();
+        EXPECT_EQ(fleet.publishedNumber(), TicketNumber(2));
+        fleet.runUntil(fleet.now() + 2'500ms);
+        for (std::size_t node = 0; node < fleet.size(); ++node) {
+            EXPECT_EQ(fleet.numberAt(node), TicketNumber(2));
+            EXPECT_FALSE(fleet.reads(node).follower().refusedConfiguration().has_value());
+        }
+    }
+}
+
+// A fleet that starts beside a refused configuration has none, but reads on, and takes the next one at once.
+TEST(ReadScheduleTest, FleetThatStartsBesideARefusedConfigurationTakesTheNextOne)
+{
+    RegistryFleet fleet(3, 1);
+    InvalidRecord refused;
+    refused.configuration = TicketNumber(9);
+    fleet.publish(refused);
+    fleet.runUntil(at(5'000ms));
+    EXPECT_EQ(fleet.numberAt(readerOf(fleet)), TicketNumber(0));
+    fleet.publish();
+    fleet.runUntil(at(7'500ms));
+    for (std::size_t node = 0; node < fleet.size(); ++node) {
+        EXPECT_EQ(fleet.numberAt(node), TicketNumber(2));
+    }
+}
+
 // Retry delays that count from the start of the call left no time between calls that time out, so that a node whose
 // calls are lost never read at its peers.
 TEST(ReadScheduleTest, NodeWhoseCallsAreLostReadsAtItsPeers)
