[node] A refused configuration is an error that repeats, with a gauge and the field at fault

What operators saw: a fleet stood still for as long as an unusable configuration was the newest, and the only sign was one warning (E3005) on one node a region, the same as for any foreign entry, plus a counter.

E3005 stays for all other records.

Evidence: RefusedConfigurationShowsUntilTheNextOne, over real links: gauge 0, 1 while the configuration is refused, 0 after the next valid one; the reader that is started anew meanwhile gets the configuration of a peer.

--- a/include/jasminemast/node/registrytask.h
+++ b/include/jasminemast/node/registrytask.h
@@ -81,6 +81,8 @@
     void publishTargets(State &state);
     void publishEvacuations(State &state);
     void logInvalidRecords();
+    /// Logs now, and each minute from now on, that the newest configuration is refused.
+    void logRefusedConfiguration();
     void updateSourceStatus(ResultCode code, const std::string &detail);
     [[nodiscard]] bool isUsable(const RegisteredTarget &target) const;
 
@@ -100,6 +102,8 @@
     TicketWaiters m_waiters;
     Timer m_nextRequestTimer;
     Timer m_expiryTimer;
+    Timer m_reminderTimer; ///< active while the newest configuration is refused
+    std::string m_refusalDetail; ///< why it is refused
     std::size_t m_retainedCount = 0; ///< value of RegistryFollower::retainedCount() that was logged
     RegistryEra m_era; ///< that was logged
     StatePtr m_state; ///< never null
--- a/lib/node/registrytask.cpp
+++ b/lib/node/registrytask.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t MaxLogbookEntries = 1'000; // fits into one response of /v1/tickets
 constexpr Milliseconds PeerTimeout {1'000};
+constexpr Milliseconds ReminderInterval {60'000};
 
 RegionId regionOf(const NodeSettings &settings, const ZoneId &zone)
 {
@@ -41,6 +42,7 @@
                         m_reads.expire(m_clock.now());
                         takeOverRecords();
                     })
+    , m_reminderTimer(context.loop, [this] { logRefusedConfiguration(); })
     , m_state(emptyState())
 {
 }
@@ -123,10 +125,15 @@
     for (const HostId &host : m_reads.upstreams().candidates()) {
         candidates.push_back(host.value());
     }
-    return {{"readsAt", m_upstream ? m_upstream->value() : "registry"},
-            {"candidates", std::move(candidates)},
-            {"rank", m_reads.upstreams().rank()},
-            {"ageMs", std::chrono::duration_cast<Milliseconds>(recordsAge(now)).count()}};
+    nlohmann::json result = {{"readsAt", m_upstream ? m_upstream->value() : "registry"},
+                             {"candidates", std::move(candidates)},
+                             {"rank", m_reads.upstreams().rank()},
+                             {"ageMs", std::chrono::duration_cast<Milliseconds>(recordsAge(now)).count()}};
+    if (const auto &refused = m_reads.follower().refusedConfiguration()) {
+        result["refusedNumber"] = refused->value();
+        result["refusedBecause"] = m_refusalDetail;
+    }
+    return result;
 }
 
 nlohmann::json RegistryTask::zones(TimePoint /*now*/) const
@@ -243,6 +250,7 @@
 void RegistryTask::takeOverRecords()
 {
     logEra();
+    m_metrics.set(Gauge::ConfigurationRefused, m_reads.follower().refusedConfiguration() ? 1 : 0);
     passOn();
     publish();
     watchRetainedTargets();
@@ -305,10 +313,29 @@
 {
     for (const InvalidRecord &record : m_reads.follower().takeInvalidRecords()) {
         m_metrics.count(Counter::InputRefused, record.code);
+        if (record.configuration && m_reads.follower().refusedConfiguration() == record.configuration) {
+            m_refusalDetail = record.detail;
+            logRefusedConfiguration();
+            continue;
+        }
         logEvent(Event::RecordIgnored, {{"code", std::to_string(number(record.code))}, {"detail", record.detail}});
     }
 }
 
+void RegistryTask::logRefusedConfiguration()
+{
+    const auto &refused = m_reads.follower().refusedConfiguration();
+    if (!refused) {
+        return;
+    }
+    m_reminderTimer.start(ReminderInterval);
+    logEvent(Event::ConfigurationRefused,
+             {{"refused", std::to_string(refused->value())},
+              {"inForce", std::to_string(m_state->number.value())},
+              {"code", std::to_string(number(ResultCode::RegistryRecordMalformed))},
+              {"detail", m_refusalDetail}});
+}
+
 void RegistryTask::publish()
 {
     // A configuration with an incomplete list of targets would refuse calls that can be served.
--- a/unittests/node/registrytasktest.cpp
+++ b/unittests/node/registrytasktest.cpp
@@ -19,15 +19,24 @@
     PublishedConfiguration configuration;
     std::map<EndpointId, RegisteredTarget> targets;
     std::map<HostId, int> calls; ///< listings and watches, without those of discovery
+    std::optional<InvalidRecord> invalid; ///< in place of the configuration
     std::set<HostId> refused; ///< hosts that are turned away
     std::set<HostId> silent; ///< hosts whose watches report nothing and then time out
 
     void publish(std::uint64_t number)
     {
         revision = Revision(revision.number() + 1);
+        invalid.reset();
         configuration.number = TicketNumber(number);
         configuration.digest = sha256(std::to_string(number));
     }
+
+    /// Has a configuration that nodes refuse.
+    void refuse(std::uint64_t number, const std::string &detail)
+    {
+        revision = Revision(revision.number() + 1);
+        invalid = InvalidRecord {ResultCode::RegistryRecordMalformed, detail, std::nullopt, TicketNumber(number)};
+    }
 };
 
 /// One host's connection to the registry.
@@ -84,7 +93,9 @@
     {
         RegistryResponse response;
         response.revision = m_registry.revision;
-        if (m_registry.configuration.number != TicketNumber(0)) {
+        if (m_registry.invalid) {
+            response.records.emplace_back(*m_registry.invalid);
+        } else if (m_registry.configuration.number != TicketNumber(0)) {
             response.records.emplace_back(m_registry.configuration);
         }
         for (const auto &[id, target] : m_registry.targets) {
@@ -173,6 +184,15 @@
     {
         return m_settings.self.host;
     }
+    /// The value of a gauge; empty if it was never set.
+    [[nodiscard]] std::string gauge(const std::string &name) const
+    {
+        const std::string text = m_metrics.render();
+        const std::size_t start = text.find("\n" + name + ' ');
+        return start == std::string::npos
+            ? std::string()
+            : text.substr(start + name.size() + 2, text.find('\n', start + 1) - start - name.size() - 2);
+    }
     [[nodiscard]] RegistryTask &task() const
     {
         return *m_task;
@@ -361,6 +381,30 @@
     }
 }
 
+// Guards against a fleet that silently stands still: the reader says that it refuses the newest configuration.
+TEST_F(RegistryTaskTest, RefusedConfigurationShowsUntilTheNextOne)
+{
+    ASSERT_TRUE(haveAll(3));
+    const int reader = awaitReader();
+    EXPECT_EQ(m_nodes.at(reader)->gauge("jasminemast_configuration_refused"), "0");
+    m_registry.refuse(4, "routes r1: unknown service x");
+    const auto shown = [this, reader] {
+        return m_nodes.at(reader)->task().upstream(TimePoint()).value("refusedNumber", 0);
+    };
+    ASSERT_TRUE(runUntil(m_loop, [&] { return shown() == 4; }));
+    EXPECT_EQ(m_nodes.at(reader)->gauge("jasminemast_configuration_refused"), "1");
+    EXPECT_EQ(m_nodes.at(reader)->task().upstream(TimePoint()).at("refusedBecause"), "routes r1: unknown service x");
+    EXPECT_EQ(m_nodes.at(reader)->number(), TicketNumber(3));
+    EXPECT_TRUE(m_nodes.at(reader)->task().isReady());
+    m_nodes.erase(reader);
+    start(reader);
+    EXPECT_TRUE(haveAll(3)) << "it gets the configuration of a peer";
+    m_registry.publish(5);
+    ASSERT_TRUE(haveAll(5));
+    EXPECT_EQ(shown(), 0);
+    EXPECT_EQ(m_nodes.at(reader)->gauge("jasminemast_configuration_refused"), "0");
+}
+
 TEST_F(RegistryTaskTest, MalformedFramesAreRefused)
 {
     ASSERT_TRUE(haveAll(3));
