[platform] A server's report is taken whatever the size of its names and numbers

Why this works: numbers that are needed by their size alone are saturated, names have any length (the entry is bounded by 64 KiB), and the software's version is only checked for its type. seq and born stay whole numbers in their ranges, since a larger one would hide all later reports of the server.

Tests: NumberOutOfRangeNamesNoServer and TextOfAnotherTypeOrTooLongNamesNoServer asked for the habit itself. All they refuse by type, form of JSON or order is refused still; what they refused by size is now checked for the exact value.

--- a/unittests/platform/oddentrytest.cpp
+++ b/unittests/platform/oddentrytest.cpp
@@ -266,15 +266,52 @@
 TEST(OddEntryTest, NumberOutOfRangeNamesNoServer)
 {
     for (const char *field : {"slots", "cold-left-ms", "seq", "born"}) {
-        for (const char *value :
-             {"18446744073709551615", "18446744073709551616", "9223372036854775808", "1e400", "-1e400", "1e3", "1.5",
-              "-1", "-9223372036854775809", "\"1\"", "true", "null", "NaN", "Infinity", "00", "0x10"}) {
+        for (const char *value : {"1e400", "-1e400", "\"1\"", "true", "null", "NaN", "Infinity", "00", "0x10"}) {
             EXPECT_FALSE(isTarget(serverTextWith(field, value))) << field << " " << value;
         }
     }
+    for (const char *field : {"seq", "born"}) {
+        for (const char *value : {"18446744073709551615", "18446744073709551616", "9223372036854775808", "1e3", "1.5",
+                                  "-1", "-9223372036854775809"}) {
+            EXPECT_FALSE(isTarget(serverTextWith(field, value))) << field << " " << value;
+        }
+    }
+    for (const char *value : {"0", "0.5", "-1", "-9223372036854775809"}) {
+        EXPECT_FALSE(isTarget(serverTextWith("slots", value))) << value;
+    }
     EXPECT_FALSE(isTarget(serverText("1e400"))) << "in a field that is not used";
 }
 
+// Guards against a living server that is taken out for a number of which the node needs no more than its size.
+TEST(OddEntryTest, NumberOfUnusualSizeOrFormKeepsItsServer)
+{
+    const auto target = [](const char *field, const char *value) {
+        const auto record = decodeItem(item("servers/odd", serverTextWith(field, value)));
+        const auto *result = std::get_if<RegisteredTarget>(&*record);
+        return result == nullptr ? RegisteredTarget() : *result;
+    };
+    const std::vector<std::pair<const char *, unsigned>> slots = {{"12.0", 12},
+                                                                  {"1e3", 1'000},
+                                                                  {"1.5", 1},
+                                                                  {"1000001", 1'000'000},
+                                                                  {"9223372036854775808", 1'000'000},
+                                                                  {"18446744073709551616", 1'000'000}};
+    for (const auto &[value, expected] : slots) {
+        EXPECT_EQ(target("slots", value).slots, expected) << value;
+    }
+    const std::vector<std::pair<const char *, Milliseconds>> warmUps
+        = {{"250.0", Milliseconds(250)},
+           {"1e3", Milliseconds(1'000)},
+           {"1.5", Milliseconds(1)},
+           {"-1", Milliseconds(0)},
+           {"172800000", std::chrono::hours(24)},
+           {"18446744073709551616", std::chrono::hours(24)}};
+    for (const auto &[value, expected] : warmUps) {
+        EXPECT_EQ(target("cold-left-ms", value).id, EndpointId("odd")) << value;
+        EXPECT_EQ(target("cold-left-ms", value).warmUpRemaining, expected) << value;
+    }
+}
+
 TEST(OddEntryTest, AddressThatCannotBeReachedNamesNoServer)
 {
     for (const std::string address : {"10.0.0.1",
@@ -328,13 +365,18 @@
     EXPECT_TRUE(isServer(std::string(192, 'a')));
 }
 
-TEST(OddEntryTest, TextOfAnotherTypeOrTooLongNamesNoServer)
+TEST(OddEntryTest, TextOfAnotherTypeNamesNoServer)
 {
     for (const char *field : {"address", "service", "version", "zone", "state"}) {
-        for (const std::string value : {"0", "null", "true", "[]", "{}", "[\"a\"]", "\"\"", "\"\xff\"", "\"a\xc3\"",
+        for (const std::string value : {"0", "null", "true", "[]", "{}", "[\"a\"]", "\"\xff\"", "\"a\xc3\"",
                                         "\"\\ud800\"", "\"\\udc00\"", "\"a"}) {
             EXPECT_FALSE(isTarget(serverTextWith(field, value))) << field << " " << value;
         }
+    }
+    for (const char *field : {"address", "service", "zone", "state"}) {
+        EXPECT_FALSE(isTarget(serverTextWith(field, "\"\""))) << field;
+    }
+    for (const char *field : {"address", "state"}) {
         EXPECT_FALSE(isTarget(serverTextWith(field, "\"" + std::string(201, 'a') + "\""))) << field;
     }
     EXPECT_FALSE(isTarget(std::string("\0", 1)));
@@ -342,6 +384,19 @@
     EXPECT_FALSE(isTarget("\xef\xbb\xbf[]"));
 }
 
+// Guards against a living server that is taken out for a long name, or for the version of its software.
+TEST(OddEntryTest, TextOfAnyLengthKeepsItsServer)
+{
+    const std::string text(5'000, 'a');
+    const auto record = [&text](const char *field) {
+        return std::get<RegisteredTarget>(*decodeItem(item("servers/odd", serverTextWith(field, "\"" + text + "\""))));
+    };
+    EXPECT_EQ(record("service").service, ServiceId(text));
+    EXPECT_EQ(record("zone").zone, ZoneId(text));
+    EXPECT_EQ(record("version").slots, 12U);
+    EXPECT_TRUE(isTarget(serverTextWith("version", "\"\"")));
+}
+
 TEST(OddEntryTest, OddEntryStopsNeitherTheListingNorTheWatch)
 {
     for (const std::string &text : oddTexts()) {
