--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -33,5 +33,6 @@
 std::string serverEntry(const std::string &ip, const std::string &service, const std::string &zone, unsigned slots);
 
 int runSlowReaders(const CaseOptions &options);
+int runHeadAnswers(const CaseOptions &options);
 
 } // namespace review
