--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -34,5 +34,6 @@
 
 int runSlowReaders(const CaseOptions &options);
 int runHeadAnswers(const CaseOptions &options);
+int runManyHeaders(const CaseOptions &options);
 
 } // namespace review
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -50,7 +50,8 @@
 int main(int argc, char **argv)
 {
     const std::map<std::string, int (*)(const review::CaseOptions &)> cases {{"slow-readers", &review::runSlowReaders},
-                                                                             {"head-answers", &review::runHeadAnswers}};
+                                                                             {"head-answers", &review::runHeadAnswers},
+                                                                             {"many-headers", &review::runManyHeaders}};
     const auto found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: review-3 CASE PROGRAM FOLDER\n";
