[review] UNASKED: a request in the body of another one is run

Now the same clients ask for the same downloads 0.1 s apart with and without the trouble, which is only how fast they read. The network of the stand-ins is now always a valid address.

--- a/review/standin-3/cases.h
+++ b/review/standin-3/cases.h
@@ -35,5 +35,6 @@
 int runSlowReaders(const CaseOptions &options);
 int runHeadAnswers(const CaseOptions &options);
 int runManyHeaders(const CaseOptions &options);
+int runTwoLengths(const CaseOptions &options);
 
 } // namespace review
--- a/review/standin-3/main.cpp
+++ b/review/standin-3/main.cpp
@@ -51,7 +51,8 @@
 {
     const std::map<std::string, int (*)(const review::CaseOptions &)> cases {{"slow-readers", &review::runSlowReaders},
                                                                              {"head-answers", &review::runHeadAnswers},
-                                                                             {"many-headers", &review::runManyHeaders}};
+                                                                             {"many-headers", &review::runManyHeaders},
+                                                                             {"two-lengths", &review::runTwoLengths}};
     const auto found = argc == 4 ? cases.find(argv[1]) : cases.end();
     if (found == cases.end()) {
         std::cerr << "usage: review-3 CASE PROGRAM FOLDER\n";
--- a/review/standin-3/platform.cpp
+++ b/review/standin-3/platform.cpp
@@ -659,7 +659,7 @@
 std::string freeNetwork()
 {
     for (int attempt = 0; attempt < 200; ++attempt) {
-        const int number = (static_cast<int>(::getpid()) * 7 + attempt * 131) % 60'000;
+        const int number = (static_cast<int>(::getpid()) * 7 + attempt * 131) % 45'000;
         const std::string network = format("127.%d.%d.", 20 + number / 250, 1 + number % 250);
         const int descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
         const sockaddr_in address = systemAddress(network + "200", StorePort);
--- a/review/standin-3/slowreaders.cpp
+++ b/review/standin-3/slowreaders.cpp
@@ -11,10 +11,12 @@
 {
 
 constexpr int MemoryMegabytes = 110; // hvf-mesh
-constexpr std::size_t DownloadBytes = 4'000'000;
+constexpr std::size_t DownloadBytes = 6'000'000;
 constexpr int Downloads = 30; ///< clients of one zone of hvf-mesh
 constexpr int ReceiveBuffer = 4096; ///< the platform's links have small windows
 constexpr long DownloadMs = 7'000; ///< time that a slow client takes; its deadline is 8 s
+constexpr long PeriodMs = 7'200; ///< a client asks for its next download so long after the last one
+constexpr long StartGapMs = 100; ///< between the clients
 constexpr int Bookers = 12;
 constexpr long BookingWorkMs = 290;
 constexpr long RunMs = 20'000;
@@ -140,7 +142,9 @@
     sleepMs(1'000);
     for (int i = 0; i < Downloads; ++i) {
         clients.emplace_back([&, i] {
+            sleepMs(i * StartGapMs);
             for (int n = 0; !stop; ++n) {
+                const long startedAt = nowMs();
                 const auto connection = Connection::open(ip(11), OutboundPort, ReceiveBuffer);
                 if (!connection) {
                     sleepMs(200);
@@ -149,7 +153,6 @@
                 const std::string id = format("draw-%02d-%04d", i, n);
                 record.line("send " + id);
                 Message head;
-                const long startedAt = nowMs();
                 std::size_t received = 0;
                 bool isComplete = false;
                 if (connection->send(format("GET /jig/%d HTTP/1.1\r\nHost: jig.example\r\nX-Request-Id: %s\r\n"
@@ -174,7 +177,10 @@
                 record.line(format("%s %s %d, %zu bytes in %ld ms", isComplete ? "answer" : "cut", id.c_str(),
                                    head.status(), received, nowMs() - startedAt));
                 ++(isComplete ? (head.status() == 200 ? downloads.answered : downloads.refused) : downloads.cut);
-                sleepMs(options.trouble ? 200 : 1'500);
+                for (long left = 1; left > 0 && !stop;) {
+                    left = startedAt + PeriodMs - nowMs();
+                    sleepMs(std::min(left, 100L));
+                }
             }
         });
     }
